--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/load/CallerClient.java
@@ -0,0 +1,207 @@
+package org.skylarkspring.bench.load;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.gson.JsonObject;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HttpString;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+import org.skylarkspring.core.model.Verdict;
+import org.skylarkspring.entry.http.HttpCall;
+import org.skylarkspring.entry.http.HttpCaller;
+import org.skylarkspring.entry.http.HttpConnections;
+import org.skylarkspring.entry.http.HttpExchange;
+import org.skylarkspring.entry.http.HttpReply;
+import org.skylarkspring.entry.http.Json;
+import org.skylarkspring.entry.http.SseParser;
+
+/**
+ * A caller: sends completions and bookings and reads token streams.
+ */
+public final class CallerClient implements AutoCloseable {
+
+	private static final int IO_THREADS = 2;
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private static final long CALL_TIMEOUT_MILLIS = 30_000;
+
+	private final XnioWorker worker;
+
+	private final HttpConnections connections = new HttpConnections(new DefaultByteBufferPool(true, BUFFER_BYTES));
+
+	private final HttpCaller caller;
+
+	/**
+	 * Creates a caller with threads of its own.
+	 * @throws IOException if the threads cannot be started
+	 */
+	public CallerClient() throws IOException {
+		this.worker = Xnio.getInstance()
+			.createWorker(OptionMap.builder()
+				.set(Options.WORKER_IO_THREADS, IO_THREADS)
+				.set(Options.THREAD_DAEMON, true)
+				.set(Options.TCP_NODELAY, true)
+				.getMap());
+		this.caller = new HttpCaller(this.worker, this.connections);
+	}
+
+	/**
+	 * Asks for a completion and reads its stream.
+	 * @param address address of an entry instance
+	 * @param key bearer key of the workspace
+	 * @param service name of the service
+	 * @param prompt the prompt
+	 * @param maximumTokens limit of the answer
+	 * @return the answer; never fails
+	 */
+	public CompletableFuture<StreamedAnswer> complete(String address, String key, String service, String prompt,
+			int maximumTokens) {
+		JsonObject body = new JsonObject();
+		body.addProperty("model", service);
+		body.addProperty("prompt", prompt);
+		body.addProperty("max_tokens", maximumTokens);
+		body.addProperty("stream", true);
+		return stream(
+				HttpCall.post(address, "/v1/completions", body.toString()).header("Authorization", "Bearer " + key));
+	}
+
+	/**
+	 * Sends a call and reads the response as a stream of tokens.
+	 * @param call the call
+	 * @return the answer; never fails
+	 */
+	public CompletableFuture<StreamedAnswer> stream(HttpCall call) {
+		CompletableFuture<StreamedAnswer> answer = new CompletableFuture<>();
+		XnioIoThread ioThread = this.worker.getIoThread();
+		ioThread.execute(() -> new HttpExchange(this.connections, ioThread, call, new StreamReader(answer)).start());
+		return answer;
+	}
+
+	/**
+	 * Books through a plain service.
+	 * @param address address of an entry instance
+	 * @param key bearer key of the workspace
+	 * @param path path of the service
+	 * @param idempotencyKey key of the booking
+	 * @param body the booking
+	 * @return the reply
+	 */
+	public CompletableFuture<HttpReply> book(String address, String key, String path, String idempotencyKey,
+			String body) {
+		HttpCall call = new HttpCall(address, new HttpString("POST"), path, Map.of("Content-Type", "application/json",
+				"Idempotency-Key", idempotencyKey, "Authorization", "Bearer " + key), Optional.of(body), false);
+		return this.caller.call(call, CALL_TIMEOUT_MILLIS);
+	}
+
+	/**
+	 * Sends any call and reads the whole response.
+	 * @param call the call
+	 * @return the reply
+	 */
+	public CompletableFuture<HttpReply> call(HttpCall call) {
+		return this.caller.call(call, CALL_TIMEOUT_MILLIS);
+	}
+
+	@Override
+	public void close() {
+		this.worker.shutdownNow();
+	}
+
+	/**
+	 * Collects the tokens of one stream.
+	 */
+	private static final class StreamReader implements HttpExchange.Listener {
+
+		private static final String DONE = "[DONE]";
+
+		private final CompletableFuture<StreamedAnswer> answer;
+
+		private final SseParser parser = new SseParser(this::onEvent);
+
+		private final List<String> tokens = new ArrayList<>();
+
+		private final List<Long> tokenNanos = new ArrayList<>();
+
+		private final StringBuilder errorBody = new StringBuilder();
+
+		private final long startedNanos = System.nanoTime();
+
+		private int status;
+
+		private boolean done;
+
+		private StreamReader(CompletableFuture<StreamedAnswer> answer) {
+			this.answer = answer;
+		}
+
+		@Override
+		public void onResponse(int responseStatus, String contentType) {
+			this.status = responseStatus;
+		}
+
+		@Override
+		public void onChunk(ByteBuffer chunk) {
+			if (this.status == 200) {
+				this.parser.feed(chunk);
+				return;
+			}
+			this.errorBody.append(StandardCharsets.UTF_8.decode(chunk));
+		}
+
+		@Override
+		public void onComplete() {
+			end();
+		}
+
+		@Override
+		public void onFailure(Verdict verdict, String message) {
+			this.errorBody.append(message);
+			end();
+		}
+
+		private void onEvent(String data) {
+			if (data.equals(DONE)) {
+				this.done = true;
+				return;
+			}
+			JsonObject event = Json.read(data, JsonObject.class).orElseGet(JsonObject::new);
+			if (event.has("choices")) {
+				token(event.getAsJsonArray("choices").get(0).getAsJsonObject().get("text").getAsString());
+			}
+			else if (event.has("text")) {
+				token(event.get("text").getAsString());
+			}
+			else if (event.has("done")) {
+				this.done = true;
+			}
+			else {
+				this.errorBody.append(data);
+			}
+		}
+
+		private void token(String text) {
+			this.tokens.add(text);
+			this.tokenNanos.add(System.nanoTime() - this.startedNanos);
+		}
+
+		private void end() {
+			this.answer.complete(new StreamedAnswer(this.status, List.copyOf(this.tokens), List.copyOf(this.tokenNanos),
+					this.done, this.errorBody.toString()));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/load/LoadMain.java
@@ -0,0 +1,162 @@
+package org.skylarkspring.bench.load;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.google.gson.annotations.SerializedName;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+import org.skylarkspring.entry.api.EngineMessages;
+import org.skylarkspring.entry.http.HttpCall;
+import org.skylarkspring.entry.http.Json;
+
+/**
+ * Load tool: sends completions through entry instances, or straight to engine stand-ins
+ * with {@code --direct}, and checks that every caller's tokens are its own, complete, in
+ * order and each once. Exits with 1 if any answer is cut, crossed or wrong.
+ */
+public final class LoadMain {
+
+	private static final long HIGHEST_MICROS = 600_000_000L;
+
+	private static final int DIGITS = 3;
+
+	private static final double MICROS_PER_MILLI = 1_000;
+
+	private final CommandLine flags;
+
+	private final List<String> addresses;
+
+	private final int requests;
+
+	private final int maximumTokens;
+
+	private final Semaphore slots;
+
+	private final Map<StreamedAnswer.Check, AtomicInteger> verdicts = new TreeMap<>();
+
+	private final ConcurrentHistogram firstToken = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+
+	private final ConcurrentHistogram betweenTokens = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+
+	private final AtomicInteger tokens = new AtomicInteger();
+
+	private LoadMain(CommandLine flags) {
+		this.flags = flags;
+		this.addresses = List.of(flags.getOptionValue("addresses").split(","));
+		this.requests = Integer.parseInt(flags.getOptionValue("requests", "1000"));
+		this.maximumTokens = Integer.parseInt(flags.getOptionValue("max-tokens", "2000"));
+		this.slots = new Semaphore(Integer.parseInt(flags.getOptionValue("concurrency", "100")));
+		for (StreamedAnswer.Check check : StreamedAnswer.Check.values()) {
+			this.verdicts.put(check, new AtomicInteger());
+		}
+	}
+
+	/**
+	 * Runs the load and prints a table.
+	 * @param arguments flags
+	 * @throws ParseException if a flag is wrong
+	 * @throws IOException if the client cannot be started
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public static void main(String[] arguments) throws ParseException, IOException, InterruptedException {
+		CommandLine flags = new DefaultParser().parse(options(), arguments);
+		boolean sound = new LoadMain(flags).run();
+		System.exit(sound ? 0 : 1);
+	}
+
+	private boolean run() throws IOException, InterruptedException {
+		int concurrency = this.slots.availablePermits();
+		long started = System.nanoTime();
+		try (CallerClient client = new CallerClient()) {
+			for (int number = 0; number < this.requests; number++) {
+				this.slots.acquire();
+				send(client, number);
+			}
+			this.slots.acquire(concurrency);
+		}
+		print((System.nanoTime() - started) / 1e9);
+		return this.verdicts.get(StreamedAnswer.Check.CUT).get() == 0
+				&& this.verdicts.get(StreamedAnswer.Check.WRONG_TOKENS).get() == 0;
+	}
+
+	private void send(CallerClient client, int number) {
+		String prompt = "load request " + number + " of " + this.flags.getOptionValue("name", "default");
+		client.stream(call(number, prompt)).thenAccept((answer) -> {
+			this.verdicts.get(answer.check(prompt, this.maximumTokens)).incrementAndGet();
+			measure(answer);
+			this.slots.release();
+		});
+	}
+
+	private HttpCall call(int number, String prompt) {
+		String address = this.addresses.get(number % this.addresses.size());
+		if (this.flags.hasOption("direct")) {
+			return HttpCall.post(address, "/v1/completions",
+					Json.write(new EngineMessages.Generate(prompt, this.maximumTokens, 0, 0, 0)));
+		}
+		String body = Json
+			.write(new Completion(this.flags.getOptionValue("service"), prompt, this.maximumTokens, true));
+		String deadline = Optional.ofNullable(this.flags.getOptionValue("deadline-millis")).orElse("60000");
+		return HttpCall.post(address, "/v1/completions", body)
+			.header("Authorization", "Bearer " + this.flags.getOptionValue("key"))
+			.header("X-Deadline-Millis", deadline);
+	}
+
+	private void measure(StreamedAnswer answer) {
+		List<Long> nanos = answer.tokenNanos();
+		this.tokens.addAndGet(nanos.size());
+		if (!nanos.isEmpty()) {
+			this.firstToken.recordValue(nanos.get(0) / 1_000);
+		}
+		for (int index = 1; index < nanos.size(); index++) {
+			this.betweenTokens.recordValue((nanos.get(index) - nanos.get(index - 1)) / 1_000);
+		}
+	}
+
+	private void print(double seconds) {
+		System.out.printf("requests %d, seconds %.1f, tokens %d, tokens/s %.0f%n", this.requests, seconds,
+				this.tokens.get(), this.tokens.get() / seconds);
+		this.verdicts.forEach((check, count) -> System.out.printf("  %-14s %6d%n", check, count.get()));
+		print("first token", this.firstToken);
+		print("between tokens", this.betweenTokens);
+	}
+
+	private static void print(String name, ConcurrentHistogram histogram) {
+		System.out.printf("  %-14s ms: p50 %.1f  p95 %.1f  p99 %.1f  max %.1f%n", name, millis(histogram, 50),
+				millis(histogram, 95), millis(histogram, 99), histogram.getMaxValue() / MICROS_PER_MILLI);
+	}
+
+	private static double millis(ConcurrentHistogram histogram, double percentile) {
+		return histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+	}
+
+	private static Options options() {
+		Options options = new Options();
+		options.addOption(Option.builder().longOpt("addresses").hasArg().required().get());
+		options.addOption(Option.builder().longOpt("service").hasArg().get());
+		options.addOption(Option.builder().longOpt("key").hasArg().get());
+		options.addOption(Option.builder().longOpt("requests").hasArg().get());
+		options.addOption(Option.builder().longOpt("concurrency").hasArg().get());
+		options.addOption(Option.builder().longOpt("max-tokens").hasArg().get());
+		options.addOption(Option.builder().longOpt("deadline-millis").hasArg().get());
+		options.addOption(Option.builder().longOpt("name").hasArg().get());
+		options.addOption(Option.builder().longOpt("direct").get());
+		return options;
+	}
+
+	private record Completion(String model, String prompt, @SerializedName("max_tokens") int maxTokens,
+			boolean stream) {
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/load/QuickstartMain.java
@@ -0,0 +1,181 @@
+package org.skylarkspring.bench.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+
+import org.skylarkspring.cli.CommandLineTool;
+import org.skylarkspring.cli.ExitCode;
+import org.skylarkspring.entry.http.HttpCall;
+import org.skylarkspring.entry.http.HttpReply;
+import org.skylarkspring.entry.http.Json;
+
+/**
+ * The main job on the stand-ins, against processes that {@code bin/quickstart} has
+ * started: publishes the example configuration, asks for the example prompts through both
+ * entry instances and books once with a repeat. Exits with 0 if all callers got what is
+ * theirs, otherwise says which step failed.
+ */
+public final class QuickstartMain {
+
+	private static final List<String> CALLER_ADDRESSES = List.of("127.0.0.1:18081", "127.0.0.1:18082");
+
+	private static final String CONTROL_ADDRESS = "127.0.0.1:18091";
+
+	private static final String PLATFORM_ADDRESS = "127.0.0.1:18070";
+
+	private static final String PLAIN_ADDRESS = "127.0.0.1:18063";
+
+	private static final long START_TIMEOUT_MILLIS = 30_000;
+
+	private static final long POLL_MILLIS = 100;
+
+	private static final int MAXIMUM_TOKENS = 60;
+
+	private final Path examples;
+
+	private final CallerClient client;
+
+	private QuickstartMain(Path examples, CallerClient client) {
+		this.examples = examples;
+		this.client = client;
+	}
+
+	/**
+	 * Runs the job.
+	 * @param arguments folder of the examples
+	 * @throws IOException if the examples cannot be read
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public static void main(String[] arguments) throws IOException, InterruptedException {
+		try (CallerClient client = new CallerClient()) {
+			new QuickstartMain(Path.of(arguments[0]), client).run();
+			System.out.println("quickstart: every caller got its own whole answer; the booking ran once");
+		}
+		catch (StepFailure ex) {
+			System.err.println("quickstart: " + ex.getMessage());
+			System.exit(1);
+		}
+		System.exit(0);
+	}
+
+	private void run() throws IOException, InterruptedException {
+		step("platform lists the instances", this::listInstances);
+		step("configuration is published", this::publish);
+		step("both entry instances are ready", () -> CALLER_ADDRESSES.stream().allMatch(this::ready));
+		completions();
+		bookings();
+	}
+
+	private void completions() throws IOException {
+		List<String> lines = Files.readAllLines(this.examples.resolve("prompts.txt"));
+		int number = 0;
+		for (String line : lines) {
+			String[] fields = line.split("\\|", 4);
+			String address = CALLER_ADDRESSES.get(number % CALLER_ADDRESSES.size());
+			StreamedAnswer answer = this.client.complete(address, fields[1], fields[2], fields[3], MAXIMUM_TOKENS)
+				.join();
+			StreamedAnswer.Check check = answer.check(fields[3], MAXIMUM_TOKENS);
+			System.out.printf("%-10s %-18s via %s: %3d tokens, %s  \"%s\"%n", fields[0], fields[2], address,
+					answer.tokens().size(), check, fields[3]);
+			if (check != StreamedAnswer.Check.WHOLE) {
+				throw new StepFailure("completion failed: status " + answer.status() + " " + answer.error());
+			}
+			number++;
+		}
+	}
+
+	private void bookings() {
+		String key = IdempotencyKey.issuedAt(System.currentTimeMillis());
+		String body = "{\"frame\":\"walker-17\",\"household\":\"Kimironko 4\"}";
+		String path = "/services/inguzanyo/bookings";
+		HttpReply first = this.client.book(CALLER_ADDRESSES.get(0), "frames-key", path, key, body).join();
+		HttpReply repeat = this.client.book(CALLER_ADDRESSES.get(1), "frames-key", path, key, body).join();
+		System.out.printf("booking: status %d %s; repeat through the other instance: status %d %s%n", first.status(),
+				first.body(), repeat.status(), repeat.body());
+		JsonArray booked = Json
+			.read(this.client.call(HttpCall.get(PLAIN_ADDRESS, "/bookings")).join().body(), JsonArray.class)
+			.orElseThrow();
+		boolean sound = first.status() == 201 && repeat.status() == 201 && first.body().equals(repeat.body())
+				&& booked.size() == 1;
+		if (!sound) {
+			throw new StepFailure("the booking ran " + booked.size() + " times");
+		}
+	}
+
+	private boolean listInstances() {
+		List<Map<String, String>> rows = Stream
+			.of(row("entry-1", "ENTRY", "", "ar-centro-a", "127.0.0.1:18091"),
+					row("entry-2", "ENTRY", "", "kigali-a", "127.0.0.1:18092"),
+					row("engine-1", "BACKEND", "modelo-editorial", "ar-centro-a", "127.0.0.1:18061"),
+					row("engine-2", "BACKEND", "inyigisho", "kigali-a", "127.0.0.1:18062"),
+					row("plain-1", "BACKEND", "inguzanyo", "kigali-a", PLAIN_ADDRESS))
+			.toList();
+		HttpCall call = HttpCall.put(PLATFORM_ADDRESS, "/objects/instances?version=0", Json.write(rows));
+		return Set.of(200, 409).contains(this.client.call(call).join().status());
+	}
+
+	private boolean publish() {
+		CommandLineTool tool = new CommandLineTool(System.getenv(), System.out, System.err);
+		return tool.run("publish", this.examples.toString(), "--control-address", CONTROL_ADDRESS) == ExitCode.DONE;
+	}
+
+	private boolean ready(String address) {
+		return this.client.call(HttpCall.get(address, "/readyz")).join().status() == 200;
+	}
+
+	private static Map<String, String> row(String instanceId, String role, String pool, String dataCentre,
+			String address) {
+		JsonObject row = new JsonObject();
+		row.addProperty("instanceId", instanceId);
+		row.addProperty("role", role);
+		row.addProperty("pool", pool);
+		row.addProperty("dataCentre", dataCentre);
+		row.addProperty("address", address);
+		row.addProperty("state", "LIVE");
+		return row.entrySet().stream().collect(Collectors.toMap(Map.Entry::getKey, (e) -> e.getValue().getAsString()));
+	}
+
+	private static void step(String name, BooleanSupplier attempt) throws InterruptedException {
+		long deadline = System.currentTimeMillis() + START_TIMEOUT_MILLIS;
+		while (!succeeds(attempt)) {
+			if (System.currentTimeMillis() > deadline) {
+				throw new StepFailure("step failed: " + name);
+			}
+			Thread.sleep(POLL_MILLIS);
+		}
+		System.out.println("ok: " + name);
+	}
+
+	private static boolean succeeds(BooleanSupplier attempt) {
+		try {
+			return attempt.getAsBoolean();
+		}
+		catch (CompletionException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * A step that failed.
+	 */
+	@SuppressWarnings("serial")
+	private static final class StepFailure extends RuntimeException {
+
+		private StepFailure(String message) {
+			super(message);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/model/EngineProfile.java
@@ -0,0 +1,41 @@
+package org.skylarkspring.bench.model;
+
+/**
+ * Speed and memory of a modelled engine.
+ *
+ * @param baseStepMillis duration of a decode step without sequences
+ * @param perSequenceMillis additional duration for each sequence in the batch
+ * @param perPrefillTokenMillis additional duration for each prompt token computed
+ * @param maximumBatch sequences in one batch
+ * @param maximumPrefillTokens prompt tokens computed in one step
+ * @param totalBlocks memory blocks
+ * @param blockTokens tokens of one block
+ * @param coldBatch sequences a cold engine bears at full speed
+ * @param warmupMillis time a cold engine needs under bearable load
+ * @param cacheEventLossRatio part of the cache events that are lost
+ */
+public record EngineProfile(double baseStepMillis, double perSequenceMillis, double perPrefillTokenMillis,
+		int maximumBatch, int maximumPrefillTokens, int totalBlocks, int blockTokens, int coldBatch, long warmupMillis,
+		double cacheEventLossRatio) {
+
+	/**
+	 * Returns the profile used unless another is asked for.
+	 * @return the profile
+	 */
+	public static EngineProfile standard() {
+		return new EngineProfile(18, 0.9, 0.02, 64, 2_048, 2_600, 16, 6, 30_000, 0.05);
+	}
+
+	/**
+	 * Returns the same profile with other steps.
+	 * @param newBaseStepMillis duration of a step without sequences
+	 * @param newPerSequenceMillis additional duration for each sequence
+	 * @return a new profile
+	 */
+	public EngineProfile withSteps(double newBaseStepMillis, double newPerSequenceMillis) {
+		return new EngineProfile(newBaseStepMillis, newPerSequenceMillis, this.perPrefillTokenMillis, this.maximumBatch,
+				this.maximumPrefillTokens, this.totalBlocks, this.blockTokens, this.coldBatch, this.warmupMillis,
+				this.cacheEventLossRatio);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A model of a model engine that runs on any clock.
+ */
+package org.skylarkspring.bench.model;
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/standin/EngineStandIn.java
@@ -0,0 +1,230 @@
+package org.skylarkspring.bench.standin;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+
+import org.skylarkspring.bench.model.EngineJob;
+import org.skylarkspring.bench.model.EngineModel;
+import org.skylarkspring.bench.model.EngineProfile;
+import org.skylarkspring.bench.model.EngineStep;
+import org.skylarkspring.core.model.LoadReport;
+import org.skylarkspring.entry.api.EngineMessages;
+import org.skylarkspring.entry.http.Json;
+
+/**
+ * Stands in for a model engine over HTTP, on top of {@link EngineModel}. Load reports and
+ * cache events lag. Faults: {@code POST /fault?mode=cold} makes the engine cold again,
+ * {@code mode=cut} closes all streams once, {@code mode=stall&millis=N} stops decoding.
+ */
+public final class EngineStandIn implements HttpHandler {
+
+	private static final long REPORT_LAG_MILLIS = 200;
+
+	private static final long RESUME_GRACE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+	private static final int CHARACTERS_PER_TOKEN = 4;
+
+	private final EngineModel model;
+
+	private final Map<String, EngineStream> streams = new HashMap<>();
+
+	private final Deque<LoadReport> reports = new ArrayDeque<>();
+
+	private final boolean checksFencing;
+
+	private long lastGeneration;
+
+	private long highestFencingNumber;
+
+	private long stalledUntilNanos;
+
+	private EngineStandIn(String serverId, EngineProfile profile, boolean warm, boolean checksFencing) {
+		long incarnation = System.currentTimeMillis();
+		this.model = new EngineModel(serverId, profile, incarnation, incarnation, warm);
+		this.checksFencing = checksFencing;
+	}
+
+	/**
+	 * Starts the stand-in.
+	 * @param serverId name of the server
+	 * @param address address to listen on
+	 * @param profile speed and memory
+	 * @param warm whether the engine starts warm
+	 * @param checksFencing whether orders with an old fencing number are refused
+	 * @return the running server
+	 */
+	public static Undertow start(String serverId, String address, EngineProfile profile, boolean warm,
+			boolean checksFencing) {
+		EngineStandIn standIn = new EngineStandIn(serverId, profile, warm, checksFencing);
+		Thread decoder = new Thread(standIn::decode, "decoder");
+		decoder.setDaemon(true);
+		decoder.start();
+		return StandInServer.start(address, standIn);
+	}
+
+	@Override
+	public void handleRequest(HttpServerExchange exchange) {
+		String path = exchange.getRequestPath();
+		if (path.equals("/v1/completions")) {
+			exchange.getRequestReceiver().receiveFullString(this::generate);
+		}
+		else if (path.startsWith("/v1/generations/")) {
+			resume(exchange, path.substring("/v1/generations/".length()));
+		}
+		else if (path.equals("/load")) {
+			load(exchange);
+		}
+		else if (path.equals("/orders")) {
+			order(exchange);
+		}
+		else if (path.equals("/fault")) {
+			fault(exchange);
+		}
+		else {
+			StandInServer.send(exchange, 404, Map.of());
+		}
+	}
+
+	private synchronized void generate(HttpServerExchange exchange, String body) {
+		EngineMessages.Generate request = Json.read(body, EngineMessages.Generate.class).orElseThrow();
+		this.lastGeneration++;
+		String generation = "g" + this.model.report(0).incarnation() + "-" + this.lastGeneration;
+		int tokens = StandInText.tokens(request.prompt(), request.maxTokens());
+		EngineStream stream = new EngineStream(generation, request.prompt());
+		this.streams.put(generation, stream);
+		this.model.submit(new EngineJob(generation, request.prompt().length() / CHARACTERS_PER_TOKEN + 1,
+				request.prefixHash(), request.prefixTokens(), tokens, request.priority()));
+		open(exchange, stream, 0);
+		notifyAll();
+	}
+
+	private synchronized void resume(HttpServerExchange exchange, String generation) {
+		EngineStream stream = this.streams.get(generation);
+		if (stream == null) {
+			StandInServer.send(exchange, 404, Map.of());
+			return;
+		}
+		open(exchange, stream, (int) StandInServer.number(exchange, "offset", 0));
+	}
+
+	private void open(HttpServerExchange exchange, EngineStream stream, int offset) {
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> stream.attach(exchange, offset));
+	}
+
+	private void decode() {
+		try {
+			while (true) {
+				decodeOnce();
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void decodeOnce() throws InterruptedException {
+		long started = System.nanoTime();
+		EngineStep step;
+		synchronized (this) {
+			while (!this.model.busy()) {
+				remember();
+				wait(REPORT_LAG_MILLIS);
+			}
+			step = this.model.step();
+		}
+		long stalledNanos = Math.max(0, this.stalledUntilNanos - started);
+		long endNanos = started + stalledNanos + (long) (step.durationMillis() * 1e6);
+		TimeUnit.NANOSECONDS.sleep(endNanos - System.nanoTime());
+		synchronized (this) {
+			step.tokens().forEach(this::produce);
+			abandon();
+			remember();
+		}
+		if (this.model.failed()) {
+			Runtime.getRuntime().halt(1);
+		}
+	}
+
+	private void produce(EngineStep.ProducedToken token) {
+		EngineStream stream = this.streams.get(token.jobId());
+		if (stream != null) {
+			stream.produce(token.last());
+		}
+	}
+
+	private void abandon() {
+		long now = System.nanoTime();
+		List<EngineStream> abandoned = this.streams.values()
+			.stream()
+			.filter((stream) -> stream.detachedFor(now) > RESUME_GRACE_NANOS)
+			.toList();
+		abandoned.forEach((stream) -> {
+			this.streams.remove(stream.generation());
+			this.model.cancel(stream.generation());
+		});
+	}
+
+	private void remember() {
+		long now = System.currentTimeMillis();
+		this.reports.addLast(this.model.report(now));
+		while (this.reports.size() > 1 && secondOldestIsOldEnough(now)) {
+			this.reports.removeFirst();
+		}
+	}
+
+	private boolean secondOldestIsOldEnough(long now) {
+		LoadReport second = this.reports.stream().skip(1).findFirst().orElseThrow();
+		return second.reportedAtMillis() <= now - REPORT_LAG_MILLIS;
+	}
+
+	private synchronized void load(HttpServerExchange exchange) {
+		LoadReport lagging = this.reports.isEmpty() ? this.model.report(System.currentTimeMillis())
+				: this.reports.getFirst();
+		List<EngineMessages.CacheEvent> changes = this.model
+			.cacheChangesAfter(StandInServer.number(exchange, "cacheAfter", 0))
+			.stream()
+			.map((change) -> new EngineMessages.CacheEvent(change.sequence(), change.prefixHash(), change.cached()))
+			.toList();
+		StandInServer.send(exchange, 200,
+				new EngineMessages.Load(lagging.incarnation(), lagging.reportedAtMillis(), lagging.running(),
+						lagging.waiting(), lagging.usedBlocks(), lagging.totalBlocks(), lagging.blockTokens(),
+						lagging.stepMillis(), lagging.preemptions(), changes));
+	}
+
+	private synchronized void order(HttpServerExchange exchange) {
+		long fencingNumber = StandInServer.number(exchange, "fencingNumber", 0);
+		if (this.checksFencing && fencingNumber < this.highestFencingNumber) {
+			StandInServer.send(exchange, 412, Map.of("highestFencingNumber", this.highestFencingNumber));
+			return;
+		}
+		this.highestFencingNumber = Math.max(this.highestFencingNumber, fencingNumber);
+		StandInServer.send(exchange, 200, Map.of("fencingNumber", this.highestFencingNumber));
+	}
+
+	private synchronized void fault(HttpServerExchange exchange) {
+		switch (StandInServer.query(exchange, "mode").orElse("none")) {
+			case "cold" -> this.model.turnCold();
+			case "cut" -> this.streams.values().forEach(EngineStream::cut);
+			case "stall" -> stall(StandInServer.number(exchange, "millis", 0));
+			default -> {
+			}
+		}
+		StandInServer.send(exchange, 200, Map.of());
+	}
+
+	private void stall(long millis) {
+		this.stalledUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/standin/PlainServiceStandIn.java
@@ -0,0 +1,83 @@
+package org.skylarkspring.bench.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+
+import org.skylarkspring.entry.api.EngineMessages;
+
+/**
+ * Stands in for a plain service whose bookings must not be repeated. {@code POST
+ * /bookings} books each time it is called, whatever the key; {@code GET /bookings} lists
+ * the keys of all bookings, so that a checker finds doubles.
+ */
+public final class PlainServiceStandIn implements HttpHandler {
+
+	private static final long WORK_MILLIS = 30;
+
+	private final long incarnation = System.currentTimeMillis();
+
+	private final List<Booking> bookings = new ArrayList<>();
+
+	private int running;
+
+	/**
+	 * Starts the stand-in.
+	 * @param address address to listen on
+	 * @return the running server
+	 */
+	public static Undertow start(String address) {
+		return StandInServer.start(address, new PlainServiceStandIn());
+	}
+
+	@Override
+	public void handleRequest(HttpServerExchange exchange) {
+		String path = exchange.getRequestPath();
+		if (path.equals("/load")) {
+			load(exchange);
+		}
+		else if (path.equals("/bookings") && exchange.getRequestMethod().equals(Methods.POST)) {
+			exchange.getRequestReceiver().receiveFullString(this::book);
+		}
+		else if (path.equals("/bookings")) {
+			list(exchange);
+		}
+		else {
+			StandInServer.send(exchange, 404, Map.of());
+		}
+	}
+
+	private synchronized void book(HttpServerExchange exchange, String body) {
+		String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+		Booking booking = new Booking(this.bookings.size() + 1, (key != null) ? key : "", body);
+		this.bookings.add(booking);
+		this.running++;
+		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> exchange.getIoThread()
+			.executeAfter(() -> answer(exchange, booking), WORK_MILLIS, TimeUnit.MILLISECONDS));
+	}
+
+	private synchronized void answer(HttpServerExchange exchange, Booking booking) {
+		this.running--;
+		StandInServer.send(exchange, 201, Map.of("bookingNumber", booking.bookingNumber()));
+	}
+
+	private synchronized void list(HttpServerExchange exchange) {
+		StandInServer.send(exchange, 200, this.bookings);
+	}
+
+	private synchronized void load(HttpServerExchange exchange) {
+		StandInServer.send(exchange, 200, new EngineMessages.Load(this.incarnation, System.currentTimeMillis(),
+				this.running, 0, 0, 0, 0, (this.running > 0) ? 1 : 0, 0, List.of()));
+	}
+
+	private record Booking(int bookingNumber, String key, String body) {
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/standin/StandInMain.java
@@ -0,0 +1,32 @@
+package org.skylarkspring.bench.standin;
+
+import org.skylarkspring.bench.model.EngineProfile;
+
+/**
+ * Starts one stand-in as a process: {@code object-api ADDRESS}, {@code plain ADDRESS} or
+ * {@code engine SERVER-ID ADDRESS [warm|cold] [fenced|unfenced]}.
+ */
+public final class StandInMain {
+
+	private StandInMain() {
+	}
+
+	/**
+	 * Starts the stand-in and returns; the process goes on until it is killed.
+	 * @param arguments kind, names and address
+	 */
+	public static void main(String[] arguments) {
+		switch (arguments[0]) {
+			case "object-api" -> ObjectApiStandIn.start(arguments[1]);
+			case "plain" -> PlainServiceStandIn.start(arguments[1]);
+			case "engine" -> EngineStandIn.start(arguments[1], arguments[2], EngineProfile.standard(),
+					flag(arguments, 3, "warm"), flag(arguments, 4, "fenced"));
+			default -> throw new IllegalArgumentException("unknown stand-in: " + arguments[0]);
+		}
+	}
+
+	private static boolean flag(String[] arguments, int index, String set) {
+		return arguments.length <= index || arguments[index].equals(set);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/standin/StandInServer.java
@@ -0,0 +1,49 @@
+package org.skylarkspring.bench.standin;
+
+import java.util.Deque;
+import java.util.Optional;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import org.xnio.Options;
+
+import org.skylarkspring.entry.http.Json;
+
+/**
+ * What the HTTP stand-ins share: a listener and short ways to read and answer.
+ */
+final class StandInServer {
+
+	private StandInServer() {
+	}
+
+	static Undertow start(String address, HttpHandler handler) {
+		int colon = address.lastIndexOf(':');
+		Undertow server = Undertow.builder()
+			.addHttpListener(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
+			.setIoThreads(2)
+			.setWorkerThreads(4)
+			.setSocketOption(Options.TCP_NODELAY, true)
+			.setHandler(handler)
+			.build();
+		server.start();
+		return server;
+	}
+
+	static void send(HttpServerExchange exchange, int status, Object message) {
+		exchange.setStatusCode(status);
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+		exchange.getResponseSender().send(Json.write(message));
+	}
+
+	static Optional<String> query(HttpServerExchange exchange, String name) {
+		return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(Deque::peekFirst);
+	}
+
+	static long number(HttpServerExchange exchange, String name, long defaultValue) {
+		return query(exchange, name).map(Long::parseLong).orElse(defaultValue);
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/skylarkspring/cli/CliMain.java
@@ -0,0 +1,21 @@
+package org.skylarkspring.cli;
+
+/**
+ * Starts the operators' command line as a process.
+ */
+public final class CliMain {
+
+	private CliMain() {
+	}
+
+	/**
+	 * Runs one command and exits with its {@link ExitCode}.
+	 * @param arguments command and flags
+	 */
+	public static void main(String[] arguments) {
+		System.setProperty("skylarkspring.log.format", "TEXT");
+		ExitCode code = new CommandLineTool(System.getenv(), System.out, System.err).run(arguments);
+		System.exit(code.number());
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/skylarkspring/cli/CommandLineTool.java
@@ -0,0 +1,230 @@
+package org.skylarkspring.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.config.ConfigurationChecker;
+import org.skylarkspring.core.config.ConfigurationResult;
+import org.skylarkspring.core.model.Directive;
+import org.skylarkspring.core.model.Verdict;
+import org.skylarkspring.entry.api.AdminMessages;
+import org.skylarkspring.entry.http.HttpFailure;
+import org.skylarkspring.entry.http.HttpReply;
+import org.skylarkspring.entry.http.Json;
+
+/**
+ * Runs one command of an operator. <pre class="code">
+ * ExitCode code = new CommandLineTool(System.getenv(), System.out, System.err).run("status");
+ * </pre>
+ */
+public final class CommandLineTool {
+
+	private static final String ADDRESS_VARIABLE = "SKYLARKSPRING_CONTROL_ADDRESS";
+
+	private static final String KEY_VARIABLE = "SKYLARKSPRING_ADMIN_KEY";
+
+	private static final Options OPTIONS = options();
+
+	private final Map<String, String> environment;
+
+	private final PrintStream output;
+
+	private final PrintStream errors;
+
+	/**
+	 * Creates a tool.
+	 * @param environment environment variables, not {@code null}
+	 * @param output receives results, not {@code null}
+	 * @param errors receives faults, not {@code null}
+	 */
+	public CommandLineTool(Map<String, String> environment, PrintStream output, PrintStream errors) {
+		this.environment = environment;
+		this.output = output;
+		this.errors = errors;
+	}
+
+	/**
+	 * Runs a command.
+	 * @param arguments command and flags
+	 * @return the exit code
+	 */
+	public ExitCode run(String... arguments) {
+		try {
+			CommandLine flags = new DefaultParser().parse(OPTIONS, arguments);
+			List<String> words = flags.getArgList();
+			if (flags.hasOption("help") || words.isEmpty()) {
+				this.output.print(help());
+				return flags.hasOption("help") ? ExitCode.DONE : ExitCode.USAGE;
+			}
+			return dispatch(flags, words);
+		}
+		catch (ParseException ex) {
+			return usage(ex.getMessage());
+		}
+		catch (HttpFailure ex) {
+			this.errors.println("skylarkspring: " + ex.getMessage());
+			return (ex.verdict() == Verdict.NOT_RUN) ? ExitCode.REFUSED : ExitCode.UNKNOWN;
+		}
+		catch (IOException | UncheckedIOException ex) {
+			this.errors.println("skylarkspring: " + ex.getMessage());
+			return ExitCode.REFUSED;
+		}
+	}
+
+	private ExitCode dispatch(CommandLine flags, List<String> words) throws IOException {
+		return switch (words.get(0)) {
+			case "publish" -> (words.size() == 2) ? publish(flags, words.get(1)) : usage("publish needs a folder");
+			case "status" -> status(flags);
+			case "drain" -> drain(flags, words, true);
+			case "restore" -> drain(flags, words, false);
+			case "config" -> config(flags, words);
+			default -> usage("unknown command '" + words.get(0) + "'");
+		};
+	}
+
+	private ExitCode config(CommandLine flags, List<String> words) throws IOException {
+		if (words.size() == 3 && words.get(1).equals("check")) {
+			return check(words.get(2)).map((configuration) -> {
+				this.output.println("sound: " + summary(configuration));
+				return ExitCode.DONE;
+			}).orElse(ExitCode.REFUSED);
+		}
+		if (words.size() == 2 && words.get(1).equals("show")) {
+			try (AdminClient client = client(flags)) {
+				this.output.println(client.configuration().body());
+				return ExitCode.DONE;
+			}
+		}
+		return usage("use 'config check FOLDER' or 'config show'");
+	}
+
+	private ExitCode publish(CommandLine flags, String folder) throws IOException {
+		Optional<Configuration> configuration = check(folder);
+		if (configuration.isEmpty()) {
+			return ExitCode.REFUSED;
+		}
+		long expected = Long.parseLong(flags.getOptionValue("expect", "-1"));
+		try (AdminClient client = client(flags)) {
+			return report(flags,
+					client.order("/admin/publish", new AdminMessages.Publish(configuration.get(), expected)));
+		}
+	}
+
+	private ExitCode drain(CommandLine flags, List<String> words, boolean drained) throws IOException {
+		Optional<Directive.TargetKind> kind = (words.size() == 3) ? targetKind(words.get(1)) : Optional.empty();
+		if (kind.isEmpty()) {
+			return usage(words.get(0) + " needs 'data-centre NAME' or 'server NAME'");
+		}
+		try (AdminClient client = client(flags)) {
+			return report(flags,
+					client.order("/admin/drain", new AdminMessages.Drain(kind.get(), words.get(2), drained)));
+		}
+	}
+
+	private ExitCode status(CommandLine flags) throws IOException {
+		try (AdminClient client = client(flags)) {
+			HttpReply reply = client.status();
+			if (flags.hasOption("json")) {
+				this.output.println(reply.body());
+				return ExitCode.DONE;
+			}
+			Json.read(reply.body(), AdminMessages.Status.class)
+				.ifPresent((status) -> new StatusPrinter(this.output).print(status));
+			return ExitCode.DONE;
+		}
+	}
+
+	private ExitCode report(CommandLine flags, AdminMessages.OrderResult result) {
+		this.output.println(flags.hasOption("json") ? Json.write(result) : result.message());
+		if (result.verdict().equals(Verdict.RAN.wireName())) {
+			return ExitCode.DONE;
+		}
+		return result.verdict().equals(Verdict.NOT_RUN.wireName()) ? ExitCode.REFUSED : ExitCode.UNKNOWN;
+	}
+
+	private Optional<Configuration> check(String folder) throws IOException {
+		ConfigurationResult result = new ConfigurationChecker().check(ConfigurationTree.read(Path.of(folder)));
+		if (result instanceof ConfigurationResult.Rejected rejected) {
+			rejected.faults().forEach((fault) -> this.errors.println(fault));
+			this.errors.println(rejected.faults().size() + " fault(s); nothing was changed");
+			return Optional.empty();
+		}
+		return Optional.of(((ConfigurationResult.Accepted) result).configuration());
+	}
+
+	private AdminClient client(CommandLine flags) throws IOException {
+		String address = Optional.ofNullable(flags.getOptionValue("control-address"))
+			.or(() -> Optional.ofNullable(this.environment.get(ADDRESS_VARIABLE)))
+			.orElseThrow(() -> new IOException("give --control-address or set " + ADDRESS_VARIABLE));
+		String key = Optional.ofNullable(this.environment.get(KEY_VARIABLE))
+			.orElseThrow(() -> new IOException("set " + KEY_VARIABLE));
+		return new AdminClient(address, key);
+	}
+
+	private ExitCode usage(String fault) {
+		this.errors.println("skylarkspring: " + fault + "; see --help");
+		return ExitCode.USAGE;
+	}
+
+	private static Optional<Directive.TargetKind> targetKind(String word) {
+		return switch (word) {
+			case "data-centre" -> Optional.of(Directive.TargetKind.DATA_CENTRE);
+			case "server" -> Optional.of(Directive.TargetKind.SERVER);
+			default -> Optional.empty();
+		};
+	}
+
+	private static String summary(Configuration configuration) {
+		return configuration.services().size() + " services, " + configuration.pools().size() + " pools, "
+				+ configuration.workspaces().size() + " workspaces, " + configuration.dataCentres().size()
+				+ " data centres";
+	}
+
+	private static Options options() {
+		Options options = new Options();
+		options.addOption(Option.builder().longOpt("control-address").hasArg().get());
+		options.addOption(Option.builder().longOpt("expect").hasArg().get());
+		options.addOption(Option.builder().longOpt("json").get());
+		options.addOption(Option.builder("h").longOpt("help").get());
+		return options;
+	}
+
+	private static String help() {
+		return """
+				usage: skylarkspring [flags] COMMAND
+
+				commands:
+				  publish FOLDER            check all configuration files below a folder and put them in force
+				  config check FOLDER       check the files and change nothing
+				  config show               print the configuration in force
+				  status                    show where which revision is in force, and the backend servers
+				  drain data-centre NAME    send no new work to a data centre
+				  drain server NAME         send no new work to a backend server
+				  restore data-centre NAME  take a data centre back in
+				  restore server NAME       take a backend server back in
+
+				flags:
+				  --control-address IP:PORT  control address of an entry instance,
+				                             default $SKYLARKSPRING_CONTROL_ADDRESS
+				  --expect REVISION          publish only over this revision
+				  --json                     print the answer as JSON
+				  -h, --help                 print this help
+
+				The admin key is read from $SKYLARKSPRING_ADMIN_KEY.
+				exit codes: 0 done, 1 refused and nothing changed, 2 usage, 3 not known whether it took effect
+				""";
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/skylarkspring/cli/ConfigurationTree.java
@@ -0,0 +1,42 @@
+package org.skylarkspring.cli;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.skylarkspring.core.config.ConfigurationFile;
+
+/**
+ * Collects the configuration files below a folder: all files whose name ends with
+ * {@code skylarkspring.json}.
+ */
+final class ConfigurationTree {
+
+	private static final String SUFFIX = "skylarkspring.json";
+
+	private ConfigurationTree() {
+	}
+
+	static List<ConfigurationFile> read(Path root) throws IOException {
+		try (Stream<Path> paths = Files.walk(root)) {
+			List<Path> files = paths.filter((path) -> path.getFileName().toString().endsWith(SUFFIX)).sorted().toList();
+			if (files.isEmpty()) {
+				throw new IOException("no file named *" + SUFFIX + " below " + root);
+			}
+			return files.stream().map((path) -> file(root, path)).toList();
+		}
+	}
+
+	private static ConfigurationFile file(Path root, Path path) {
+		try {
+			return new ConfigurationFile(root.relativize(path).toString(), Files.readString(path));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/AnswerSequence.java
@@ -0,0 +1,98 @@
+package org.skylarkspring.core;
+
+/**
+ * Guards the order of one caller's answer: every token is delivered once, in order, from
+ * a single generation. <pre class="code">
+ * AnswerSequence sequence = new AnswerSequence();
+ * sequence.begin(attemptId, 0);
+ * if (sequence.admit(attemptId, "g-1", offset) == AnswerSequence.Admission.DELIVER) { ... }
+ * </pre> Not safe for use by several threads at once.
+ */
+public final class AnswerSequence {
+
+	private long attemptId = -1;
+
+	private String generation;
+
+	private int nextOffset;
+
+	/**
+	 * Makes an attempt the source of the answer.
+	 * @param newAttemptId number of the attempt
+	 * @param offset offset of the first token the attempt will bring
+	 * @return {@code false} if the attempt would mix two generations or leave a gap; it
+	 * must then not be used
+	 */
+	public boolean begin(long newAttemptId, int offset) {
+		if (offset != this.nextOffset) {
+			return false;
+		}
+		if (offset == 0) {
+			this.generation = null;
+		}
+		this.attemptId = newAttemptId;
+		return true;
+	}
+
+	/**
+	 * Forgets what was buffered, for a caller that has not received any token yet.
+	 */
+	public void restart() {
+		this.attemptId = -1;
+		this.generation = null;
+		this.nextOffset = 0;
+	}
+
+	/**
+	 * Decides on one token.
+	 * @param fromAttemptId attempt that brought the token
+	 * @param fromGeneration generation the token belongs to, not {@code null}
+	 * @param offset offset of the token within the generation
+	 * @return what to do with the token
+	 */
+	public Admission admit(long fromAttemptId, String fromGeneration, int offset) {
+		if (fromAttemptId != this.attemptId) {
+			return Admission.FOREIGN;
+		}
+		if (this.generation != null && !this.generation.equals(fromGeneration)) {
+			return Admission.FOREIGN;
+		}
+		if (offset < this.nextOffset) {
+			return Admission.DUPLICATE;
+		}
+		if (offset > this.nextOffset) {
+			return Admission.GAP;
+		}
+		this.generation = fromGeneration;
+		this.nextOffset++;
+		return Admission.DELIVER;
+	}
+
+	/**
+	 * Returns the number of tokens delivered.
+	 * @return number of tokens
+	 */
+	public int delivered() {
+		return this.nextOffset;
+	}
+
+	/**
+	 * What to do with a token.
+	 */
+	public enum Admission {
+
+		/** The token is the next one; deliver it. */
+		DELIVER,
+
+		/** The token was delivered before; drop it. */
+		DUPLICATE,
+
+		/** The token belongs to another attempt or generation; drop it. */
+		FOREIGN,
+
+		/** Tokens before this one are missing; the attempt has failed. */
+		GAP
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/DecisionCore.java
@@ -0,0 +1,90 @@
+package org.skylarkspring.core;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.skylarkspring.core.action.Action;
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.event.Event;
+import org.skylarkspring.core.internal.CorePipeline;
+import org.skylarkspring.core.model.CoreStatus;
+import org.skylarkspring.core.model.Directive;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.core.model.RampRecord;
+
+/**
+ * Decides for one entry instance which request runs where and when. It owns no thread,
+ * socket or clock: events go in with the time, actions come out. <pre class="code">
+ * DecisionCore core = DecisionCore.builder("entry-1", "kigali-a").seed(7).build();
+ * List&lt;Action&gt; actions = core.step(events, nowMillis);
+ * </pre> Not safe for use by several threads at once.
+ */
+public final class DecisionCore {
+
+	private final CorePipeline pipeline;
+
+	DecisionCore(CorePipeline pipeline) {
+		this.pipeline = pipeline;
+	}
+
+	/**
+	 * Starts building a core.
+	 * @param instanceId unique name of the entry instance, not {@code null}
+	 * @param dataCentre data centre of the entry instance, not {@code null}
+	 * @return a builder
+	 */
+	public static DecisionCoreBuilder builder(String instanceId, String dataCentre) {
+		return new DecisionCoreBuilder(instanceId, dataCentre);
+	}
+
+	/**
+	 * Applies events and runs all systems that are due.
+	 * @param events events in the order of their arrival, may be empty
+	 * @param nowMillis time on a clock that never runs backwards
+	 * @return actions to carry out in order
+	 */
+	public List<Action> step(List<Event> events, long nowMillis) {
+		return this.pipeline.step(events, nowMillis);
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, empty until one was offered
+	 */
+	public Optional<Configuration> configuration() {
+		return this.pipeline.configuration();
+	}
+
+	/**
+	 * Returns all directives known.
+	 * @return a snapshot
+	 */
+	public List<Directive> directives() {
+		return this.pipeline.directives();
+	}
+
+	/**
+	 * Returns the warm-up state of all servers with a known incarnation.
+	 * @return a snapshot
+	 */
+	public List<RampRecord> ramps() {
+		return this.pipeline.ramps();
+	}
+
+	/**
+	 * Returns the backend servers whose load reports this instance needs.
+	 * @return rows of the platform's list
+	 */
+	public List<InstanceRecord> polledServers() {
+		return this.pipeline.polledServers();
+	}
+
+	/**
+	 * Returns counters and sizes for status pages and metrics.
+	 * @return a snapshot
+	 */
+	public CoreStatus status() {
+		return this.pipeline.status();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/action/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages that come out of the core and that the daemon carries out.
+ */
+package org.skylarkspring.core.action;
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/config/Configuration.java
@@ -0,0 +1,48 @@
+package org.skylarkspring.core.config;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One revision of the whole configuration.
+ *
+ * @param revision number of the revision, rises with each publication
+ * @param publishId unique name of the publication
+ * @param services all services
+ * @param pools all pools
+ * @param workspaces all workspaces
+ * @param dataCentres all data centres
+ */
+public record Configuration(long revision, String publishId, List<ServicePolicy> services, List<PoolPolicy> pools,
+		List<WorkspacePolicy> workspaces, List<DataCentrePolicy> dataCentres) {
+
+	/**
+	 * Returns the same content as another revision.
+	 * @param newRevision number of the revision
+	 * @param newPublishId unique name of the publication
+	 * @return a new configuration
+	 */
+	public Configuration as(long newRevision, String newPublishId) {
+		return new Configuration(newRevision, newPublishId, this.services, this.pools, this.workspaces,
+				this.dataCentres);
+	}
+
+	/**
+	 * Finds a service by its name.
+	 * @param name the name
+	 * @return the service, empty if there is none
+	 */
+	public Optional<ServicePolicy> service(String name) {
+		return this.services.stream().filter((service) -> service.name().equals(name)).findFirst();
+	}
+
+	/**
+	 * Finds a pool by its name.
+	 * @param name the name
+	 * @return the pool, empty if there is none
+	 */
+	public Optional<PoolPolicy> pool(String name) {
+		return this.pools.stream().filter((pool) -> pool.name().equals(name)).findFirst();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/config/LocatedJson.java
@@ -0,0 +1,107 @@
+package org.skylarkspring.core.config;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+
+/**
+ * A JSON value that knows the line and the path it was read from.
+ *
+ * @param line line of the value, starting at 1
+ * @param path path of the value, such as {@code $.pools[0]}
+ * @param members members of an object by name, {@code null} for other values
+ * @param items items of an array, {@code null} for other values
+ * @param text text of a string or number, {@code null} for other values
+ * @param number whether the text was written as a number
+ */
+record LocatedJson(int line, String path, Map<String, LocatedJson> members, List<LocatedJson> items, String text,
+		boolean number) {
+
+	private static final Pattern LINE = Pattern.compile("at line (\\d+)");
+
+	/**
+	 * Reads a JSON document.
+	 * @param document text of the document
+	 * @return the root value
+	 * @throws IOException if the text is not well-formed JSON; the message names the line
+	 */
+	static LocatedJson parse(String document) throws IOException {
+		try (JsonReader reader = new JsonReader(new StringReader(document))) {
+			reader.setStrictness(Strictness.STRICT);
+			LocatedJson root = read(reader);
+			if (reader.peek() != JsonToken.END_DOCUMENT) {
+				throw new IOException("text after the end of the document" + " at line " + lineOf(reader.toString()));
+			}
+			return root;
+		}
+		catch (IllegalStateException ex) {
+			throw new IOException(ex.getMessage(), ex);
+		}
+	}
+
+	/**
+	 * Returns the line named in a message of the JSON reader.
+	 * @param message the message
+	 * @return the line, 0 if none is named
+	 */
+	static int lineOf(String message) {
+		Matcher matcher = LINE.matcher(message);
+		return matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
+	}
+
+	boolean isObject() {
+		return this.members != null;
+	}
+
+	boolean isArray() {
+		return this.items != null;
+	}
+
+	private static LocatedJson read(JsonReader reader) throws IOException {
+		JsonToken token = reader.peek();
+		int line = lineOf(reader.toString());
+		String path = reader.getPath();
+		return switch (token) {
+			case BEGIN_OBJECT -> new LocatedJson(line, path, readMembers(reader), null, null, false);
+			case BEGIN_ARRAY -> new LocatedJson(line, path, null, readItems(reader), null, false);
+			case NUMBER -> new LocatedJson(line, path, null, null, reader.nextString(), true);
+			case STRING -> new LocatedJson(line, path, null, null, reader.nextString(), false);
+			case BOOLEAN -> new LocatedJson(line, path, null, null, String.valueOf(reader.nextBoolean()), false);
+			default -> throw new IOException("a value is missing at line " + line + " path " + path);
+		};
+	}
+
+	private static Map<String, LocatedJson> readMembers(JsonReader reader) throws IOException {
+		Map<String, LocatedJson> members = new LinkedHashMap<>();
+		reader.beginObject();
+		while (reader.hasNext()) {
+			String name = reader.nextName();
+			LocatedJson value = read(reader);
+			if (members.put(name, value) != null) {
+				throw new IOException("field '" + name + "' is given twice at line " + value.line());
+			}
+		}
+		reader.endObject();
+		return members;
+	}
+
+	private static List<LocatedJson> readItems(JsonReader reader) throws IOException {
+		List<LocatedJson> items = new ArrayList<>();
+		reader.beginArray();
+		while (reader.hasNext()) {
+			items.add(read(reader));
+		}
+		reader.endArray();
+		return items;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/event/Event.java
@@ -0,0 +1,197 @@
+package org.skylarkspring.core.event;
+
+import java.util.List;
+
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.model.AttemptResult;
+import org.skylarkspring.core.model.Directive;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.core.model.LoadReport;
+import org.skylarkspring.core.model.RampRecord;
+import org.skylarkspring.core.model.RequestSpec;
+import org.skylarkspring.core.model.StoreAnswer;
+
+/**
+ * A message into the core. Each event is handed to the method of {@link EventHandler}
+ * that bears its name.
+ */
+public sealed interface Event {
+
+	/**
+	 * Hands this event to a handler.
+	 * @param handler the handler, not {@code null}
+	 */
+	void handOver(EventHandler handler);
+
+	/**
+	 * A caller's request has been read whole.
+	 *
+	 * @param requestId number of the request, unique within the instance
+	 * @param spec what was asked for
+	 */
+	record RequestArrived(long requestId, RequestSpec spec) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.requestArrived(this);
+		}
+
+	}
+
+	/**
+	 * The caller of a request has disconnected.
+	 *
+	 * @param requestId number of the request
+	 */
+	record CallerDisconnected(long requestId) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.callerDisconnected(this);
+		}
+
+	}
+
+	/**
+	 * Tokens of an attempt have been received.
+	 *
+	 * @param attemptId number of the attempt
+	 * @param outputTokens number of tokens received since the attempt started
+	 */
+	record TokensReceived(long attemptId, int outputTokens) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.tokensReceived(this);
+		}
+
+	}
+
+	/**
+	 * An attempt has ended.
+	 *
+	 * @param attemptId number of the attempt
+	 * @param result how it ended
+	 */
+	record AttemptEnded(long attemptId, AttemptResult result) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.attemptEnded(this);
+		}
+
+	}
+
+	/**
+	 * A backend server has reported its load.
+	 *
+	 * @param report the report
+	 */
+	record LoadReported(LoadReport report) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.loadReported(this);
+		}
+
+	}
+
+	/**
+	 * A backend server has added a prefix to its cache or evicted it.
+	 *
+	 * @param serverId name of the server
+	 * @param sequence number of the change, gaps mean lost changes
+	 * @param prefixHash hash of the prefix
+	 * @param cached whether the prefix is in the cache after the change
+	 */
+	record CacheChanged(String serverId, long sequence, long prefixHash, boolean cached) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.cacheChanged(this);
+		}
+
+	}
+
+	/**
+	 * A configuration was read from the platform or from a peer.
+	 *
+	 * @param configuration the configuration
+	 */
+	record ConfigurationOffered(Configuration configuration) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.configurationOffered(this);
+		}
+
+	}
+
+	/**
+	 * The platform's list of instances was read.
+	 *
+	 * @param instances all rows of the list
+	 */
+	record InstancesListed(List<InstanceRecord> instances) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.instancesListed(this);
+		}
+
+	}
+
+	/**
+	 * Directives were received from an operator, the platform or a peer.
+	 *
+	 * @param directives the directives
+	 */
+	record DirectivesOffered(List<Directive> directives) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.directivesOffered(this);
+		}
+
+	}
+
+	/**
+	 * Warm-up records were received from a peer.
+	 *
+	 * @param ramps the records
+	 */
+	record RampsOffered(List<RampRecord> ramps) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.rampsOffered(this);
+		}
+
+	}
+
+	/**
+	 * The platform's store has answered.
+	 *
+	 * @param operationId number of the operation
+	 * @param answer the answer
+	 */
+	record StoreAnswered(long operationId, StoreAnswer answer) implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.storeAnswered(this);
+		}
+
+	}
+
+	/** The instance was told to shut down. */
+	record ShutdownRequested() implements Event {
+
+		@Override
+		public void handOver(EventHandler handler) {
+			handler.shutdownRequested(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/event/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages that go into the core.
+ */
+package org.skylarkspring.core.event;
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/internal/AttemptEntry.java
@@ -0,0 +1,38 @@
+package org.skylarkspring.core.internal;
+
+/**
+ * One dispatch of a request to a backend server.
+ */
+final class AttemptEntry {
+
+	final long attemptId;
+
+	final RequestEntry request;
+
+	final ServerEntry server;
+
+	final long placedAtMillis;
+
+	long lastProgressMillis;
+
+	int outputTokens;
+
+	double promisedBlocks;
+
+	boolean reported;
+
+	boolean resumed;
+
+	AttemptEntry(long attemptId, RequestEntry request, ServerEntry server, long placedAtMillis) {
+		this.attemptId = attemptId;
+		this.request = request;
+		this.server = server;
+		this.placedAtMillis = placedAtMillis;
+		this.lastProgressMillis = placedAtMillis;
+	}
+
+	int contextTokens() {
+		return this.request.spec.promptTokens() + this.outputTokens;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/internal/FairQueue.java
@@ -0,0 +1,161 @@
+package org.skylarkspring.core.internal;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+/**
+ * Requests of one service that wait for a server. Workspaces with waiting requests
+ * receive service in proportion to their weights, measured by the cost of their requests;
+ * within a workspace the first to arrive comes first.
+ */
+final class FairQueue {
+
+	private final Map<String, WorkspaceQueue> workspaces = new LinkedHashMap<>();
+
+	private final boolean byWeight;
+
+	private double virtualTime;
+
+	private long arrivals;
+
+	private int size;
+
+	FairQueue(boolean byWeight) {
+		this.byWeight = byWeight;
+	}
+
+	void add(RequestEntry request) {
+		queueOf(request).requests.addLast(new Waiting(request, this.arrivals++));
+		this.size++;
+	}
+
+	/**
+	 * Puts a request back in front of its workspace's queue.
+	 * @param request the request
+	 */
+	void addFirst(RequestEntry request) {
+		queueOf(request).requests.addFirst(new Waiting(request, -this.arrivals++));
+		this.size++;
+	}
+
+	Optional<RequestEntry> peek() {
+		return next().map((queue) -> queue.requests.getFirst().request());
+	}
+
+	/**
+	 * Removes the request that {@link #peek()} returned and charges its workspace.
+	 * @param request the request
+	 */
+	void served(RequestEntry request) {
+		WorkspaceQueue queue = queueOf(request);
+		queue.requests.removeFirst();
+		this.size--;
+		this.virtualTime = Math.max(this.virtualTime, queue.virtualStart);
+		queue.virtualStart += request.queueCost / queue.weight;
+		forgetIfIdle(request.workspace.name(), queue);
+	}
+
+	/**
+	 * Removes all requests that match a condition, without charge.
+	 * @param condition the condition
+	 * @return the removed requests
+	 */
+	List<RequestEntry> removeIf(Predicate<RequestEntry> condition) {
+		List<RequestEntry> removed = requests().filter(condition).toList();
+		if (!removed.isEmpty()) {
+			this.workspaces.values()
+				.forEach((queue) -> queue.requests.removeIf((waiting) -> removed.contains(waiting.request())));
+			this.size -= removed.size();
+			this.workspaces.values().removeIf((queue) -> queue.idle(this.virtualTime));
+		}
+		return removed;
+	}
+
+	/**
+	 * Returns the cost that is served before a new request of a workspace, if all
+	 * workspaces keep to their shares.
+	 * @param request the new request
+	 * @return cost in tokens
+	 */
+	double costAhead(RequestEntry request) {
+		if (!this.byWeight) {
+			return requests().mapToDouble((waiting) -> waiting.queueCost).sum();
+		}
+		WorkspaceQueue own = this.workspaces.get(request.workspace.name());
+		double weight = request.workspace.weight();
+		double ownCost = (own != null) ? own.cost() : 0;
+		double ownStart = (own != null) ? Math.max(own.virtualStart, this.virtualTime) : this.virtualTime;
+		double finish = ownStart + ownCost / weight;
+		return this.workspaces.values().stream().mapToDouble((queue) -> queue.costBefore(finish)).sum();
+	}
+
+	Stream<RequestEntry> requests() {
+		return this.workspaces.values().stream().flatMap((queue) -> queue.requests.stream()).map(Waiting::request);
+	}
+
+	int size() {
+		return this.size;
+	}
+
+	private Optional<WorkspaceQueue> next() {
+		Comparator<WorkspaceQueue> order = this.byWeight
+				? Comparator.comparingDouble((queue) -> Math.max(queue.virtualStart, 0))
+				: Comparator.comparingLong((queue) -> queue.requests.getFirst().arrival());
+		Collection<WorkspaceQueue> queues = this.workspaces.values();
+		return queues.stream().filter((queue) -> !queue.requests.isEmpty()).min(order);
+	}
+
+	private WorkspaceQueue queueOf(RequestEntry request) {
+		WorkspaceQueue queue = this.workspaces.computeIfAbsent(request.workspace.name(), (name) -> {
+			WorkspaceQueue created = new WorkspaceQueue();
+			created.virtualStart = this.virtualTime;
+			return created;
+		});
+		queue.weight = request.workspace.weight();
+		if (queue.requests.isEmpty()) {
+			queue.virtualStart = Math.max(queue.virtualStart, this.virtualTime);
+		}
+		return queue;
+	}
+
+	private void forgetIfIdle(String workspace, WorkspaceQueue queue) {
+		if (queue.idle(this.virtualTime)) {
+			this.workspaces.remove(workspace);
+		}
+	}
+
+	private static final class WorkspaceQueue {
+
+		private final Deque<Waiting> requests = new ArrayDeque<>();
+
+		private double virtualStart;
+
+		private double weight = 1;
+
+		private double cost() {
+			return this.requests.stream().mapToDouble((waiting) -> waiting.request().queueCost).sum();
+		}
+
+		private double costBefore(double virtualFinish) {
+			double until = Math.max(0, (virtualFinish - this.virtualStart) * this.weight);
+			return Math.min(cost(), until);
+		}
+
+		private boolean idle(double virtualTime) {
+			return this.requests.isEmpty() && this.virtualStart <= virtualTime;
+		}
+
+	}
+
+	private record Waiting(RequestEntry request, long arrival) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/internal/IdempotencyKeys.java
@@ -0,0 +1,37 @@
+package org.skylarkspring.core.internal;
+
+import java.util.Optional;
+import java.util.UUID;
+
+/**
+ * Reads idempotency keys. A key is a version 7 UUID, so that it tells when it was issued
+ * and a key older than the retention period is recognised without any record of it.
+ */
+final class IdempotencyKeys {
+
+	private static final int TEXT_LENGTH = 36;
+
+	private static final int VERSION = 7;
+
+	private static final int TIMESTAMP_SHIFT = 16;
+
+	private IdempotencyKeys() {
+	}
+
+	/**
+	 * Returns when a key was issued.
+	 * @param key the key
+	 * @return milliseconds since the epoch, empty if the key is not a version 7 UUID
+	 */
+	static Optional<Long> issuedAtEpochMillis(String key) {
+		try {
+			UUID uuid = UUID.fromString(key);
+			boolean valid = key.length() == TEXT_LENGTH && uuid.version() == VERSION && uuid.variant() == 2;
+			return valid ? Optional.of(uuid.getMostSignificantBits() >>> TIMESTAMP_SHIFT) : Optional.empty();
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/internal/Rendezvous.java
@@ -0,0 +1,20 @@
+package org.skylarkspring.core.internal;
+
+/**
+ * Rendezvous hashing: each pair of names has a fixed pseudo-random score.
+ */
+final class Rendezvous {
+
+	private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
+
+	private Rendezvous() {
+	}
+
+	static long score(String first, String second) {
+		long hash = ((long) first.hashCode() << 32) ^ second.hashCode();
+		hash = (hash ^ (hash >>> 30)) * 0xBF58476D1CE4E5B9L;
+		hash = (hash ^ (hash >>> 27)) * 0x94D049BB133111EBL;
+		return (hash ^ (hash >>> 31)) * MULTIPLIER;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/model/RefusalCode.java
@@ -0,0 +1,87 @@
+package org.skylarkspring.core.model;
+
+/**
+ * Stable codes of refusals and interruptions, with the HTTP status each one maps to.
+ */
+public enum RefusalCode {
+
+	/** The queue cannot meet the request's deadline. */
+	OVERLOADED("overloaded", 503),
+
+	/** No backend server of the service accepts new work. */
+	NO_CAPACITY("no-capacity", 503),
+
+	/** The instance has no configuration yet. */
+	NOT_READY("not-ready", 503),
+
+	/** The instance is shutting down. */
+	SHUTTING_DOWN("shutting-down", 503),
+
+	/** The platform's store cannot be reached, so a keyed request cannot be claimed. */
+	STORE_UNAVAILABLE("store-unavailable", 503),
+
+	/** The service does not exist or the workspace may not use it. */
+	UNKNOWN_SERVICE("unknown-service", 404),
+
+	/** The bearer key matches no workspace. */
+	UNKNOWN_KEY("unknown-key", 401),
+
+	/** The request body is malformed. */
+	MALFORMED("malformed", 400),
+
+	/** The request body is larger than the service allows. */
+	TOO_LARGE("too-large", 413),
+
+	/** The request was not received within the allowed time. */
+	TOO_SLOW("too-slow", 408),
+
+	/** The service requires an idempotency key. */
+	KEY_REQUIRED("key-required", 400),
+
+	/** The idempotency key is not a version 7 UUID. */
+	KEY_MALFORMED("key-malformed", 400),
+
+	/** The idempotency key is older than the retention period. */
+	KEY_EXPIRED("key-expired", 410),
+
+	/** The idempotency key was used before with another body. */
+	KEY_REUSED("key-reused", 422),
+
+	/** A request with this key has started and its result is not recorded. */
+	KEY_IN_PROGRESS("key-in-progress", 409),
+
+	/** The request has run, but its answer was too large to be recorded. */
+	ANSWER_NOT_KEPT("answer-not-kept", 409),
+
+	/** The backend server failed. */
+	BACKEND_FAILED("backend-failed", 502),
+
+	/** The request ran out of time. */
+	TIMED_OUT("timed-out", 504);
+
+	private final String wireName;
+
+	private final int httpStatus;
+
+	RefusalCode(String wireName, int httpStatus) {
+		this.wireName = wireName;
+		this.httpStatus = httpStatus;
+	}
+
+	/**
+	 * Returns the stable code sent to callers.
+	 * @return the code, never {@code null}
+	 */
+	public String wireName() {
+		return this.wireName;
+	}
+
+	/**
+	 * Returns the HTTP status of the refusal.
+	 * @return a status from 400 to 599
+	 */
+	public int httpStatus() {
+		return this.httpStatus;
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/skylarkspring/core/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the configuration.
+ */
+package org.skylarkspring.core.config;
--- /dev/null
+++ b/core/src/test/java/org/skylarkspring/core/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decision core.
+ */
+package org.skylarkspring.core;
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/EntrySettingsReader.java
@@ -0,0 +1,175 @@
+package org.skylarkspring.entry;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * Reads {@link EntrySettings} from flags and environment variables. A flag wins over its
+ * variable; the variable of {@code --data-centre} is {@code SKYLARKSPRING_DATA_CENTRE}.
+ * Secrets are read from variables only and never printed.
+ */
+public final class EntrySettingsReader {
+
+	private static final String PREFIX = "SKYLARKSPRING_";
+
+	private static final String ADDRESS = "(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+\\]):\\d{1,5}";
+
+	private static final int MINIMUM_KEY_CHARACTERS = 16;
+
+	private static final Options OPTIONS = options();
+
+	private final CommandLine flags;
+
+	private final Map<String, String> environment;
+
+	private final List<String> faults = new ArrayList<>();
+
+	private EntrySettingsReader(CommandLine flags, Map<String, String> environment) {
+		this.flags = flags;
+		this.environment = environment;
+	}
+
+	/**
+	 * Reads the settings.
+	 * @param arguments flags
+	 * @param environment environment variables
+	 * @return the settings, all faults, or the help text
+	 */
+	public static SettingsResult read(String[] arguments, Map<String, String> environment) {
+		try {
+			CommandLine flags = new DefaultParser().parse(OPTIONS, arguments);
+			if (flags.hasOption("help")) {
+				return new SettingsResult.Help(help());
+			}
+			return new EntrySettingsReader(flags, environment).read();
+		}
+		catch (ParseException ex) {
+			return new SettingsResult.Rejected(List.of(ex.getMessage() + "; see --help"));
+		}
+	}
+
+	private SettingsResult read() {
+		this.flags.getArgList().forEach((extra) -> this.faults.add("unexpected argument '" + extra + "'"));
+		EntrySettings settings = new EntrySettings(name("instance-id"), name("data-centre"), address("caller-address"),
+				address("control-address"), address("platform-address"), peers(), secret("PEER_KEY"),
+				secret("ADMIN_KEY"), logFormat(), number("maximum-open-requests", 4_096, 1, 1_000_000),
+				number("maximum-connections", 8_192, 1, 1_000_000),
+				number("body-timeout-millis", 10_000, 100, 3_600_000), number("io-threads", 2, 1, 64));
+		if (this.faults.isEmpty()) {
+			return new SettingsResult.Accepted(settings);
+		}
+		return new SettingsResult.Rejected(List.copyOf(this.faults));
+	}
+
+	private Optional<String> value(String flag) {
+		String variable = PREFIX + flag.toUpperCase(Locale.ROOT).replace('-', '_');
+		return Optional.ofNullable(this.flags.getOptionValue(flag))
+			.or(() -> Optional.ofNullable(this.environment.get(variable)));
+	}
+
+	private String name(String flag) {
+		return required(flag, "[a-z0-9][a-z0-9-]{0,62}", "1 to 63 lower-case letters, digits and hyphens");
+	}
+
+	private String address(String flag) {
+		return required(flag, ADDRESS, "an IP address and a port, such as 127.0.0.1:8080");
+	}
+
+	private String required(String flag, String pattern, String expected) {
+		String value = value(flag).orElse("");
+		if (!value.matches(pattern)) {
+			this.faults.add("--" + flag + " must be " + expected + ", found '" + value + "'");
+		}
+		return value;
+	}
+
+	private List<String> peers() {
+		List<String> peers = value("peers").stream()
+			.flatMap((text) -> Stream.of(text.split(",")))
+			.filter((peer) -> !peer.isBlank())
+			.toList();
+		peers.stream()
+			.filter((peer) -> !peer.matches(ADDRESS))
+			.forEach((peer) -> this.faults.add("--peers holds '" + peer + "', which is no IP address and port"));
+		return peers;
+	}
+
+	private String secret(String name) {
+		String value = this.environment.getOrDefault(PREFIX + name, "");
+		if (value.length() < MINIMUM_KEY_CHARACTERS) {
+			this.faults
+				.add("variable " + PREFIX + name + " must hold at least " + MINIMUM_KEY_CHARACTERS + " characters");
+		}
+		return value;
+	}
+
+	private String logFormat() {
+		String format = value("log-format").orElse("text").toUpperCase(Locale.ROOT);
+		if (!List.of("TEXT", "JSON").contains(format)) {
+			this.faults.add("--log-format must be text or json, found '" + format + "'");
+		}
+		return format;
+	}
+
+	private int number(String flag, int defaultValue, int minimum, int maximum) {
+		String text = value(flag).orElse(String.valueOf(defaultValue));
+		try {
+			int number = Integer.parseInt(text);
+			if (number >= minimum && number <= maximum) {
+				return number;
+			}
+		}
+		catch (NumberFormatException ex) {
+			// Reported below like a number out of range.
+		}
+		this.faults
+			.add("--" + flag + " must be a whole number from " + minimum + " to " + maximum + ", found '" + text + "'");
+		return defaultValue;
+	}
+
+	private static Options options() {
+		Options options = new Options();
+		options.addOption(option("instance-id", "NAME", "unique name of this instance (required)"));
+		options.addOption(option("data-centre", "NAME", "data centre of this instance (required)"));
+		options.addOption(option("caller-address", "IP:PORT", "where callers connect (required)"));
+		options.addOption(option("control-address", "IP:PORT", "where peers and operators connect (required)"));
+		options.addOption(option("platform-address", "IP:PORT", "the platform's object API (required)"));
+		options.addOption(option("peers", "IP:PORT,...", "control addresses of peers to start from"));
+		options.addOption(option("log-format", "FORMAT", "text or json, default text"));
+		options.addOption(option("maximum-open-requests", "N", "requests served at one time, default 4096"));
+		options.addOption(option("maximum-connections", "N", "connections accepted at one time, default 8192"));
+		options.addOption(option("body-timeout-millis", "N", "time for a request body to arrive, default 10000"));
+		options.addOption(option("io-threads", "N", "threads for input and output, default 2"));
+		options.addOption(Option.builder("h").longOpt("help").desc("print this help").get());
+		return options;
+	}
+
+	private static Option option(String name, String argument, String description) {
+		return Option.builder().longOpt(name).hasArg().argName(argument).desc(description).get();
+	}
+
+	private static String help() {
+		StringWriter text = new StringWriter();
+		PrintWriter writer = new PrintWriter(text);
+		writer.println("usage: skylarkspring-entry [flags]");
+		OPTIONS.getOptions()
+			.forEach((option) -> writer.printf("  --%-24s %-12s %s%n", option.getLongOpt(),
+					Optional.ofNullable(option.getArgName()).orElse(""), option.getDescription()));
+		writer.println("Each flag may be given as a variable instead: --data-centre as SKYLARKSPRING_DATA_CENTRE.");
+		writer.println("Variables only: SKYLARKSPRING_PEER_KEY, SKYLARKSPRING_ADMIN_KEY (16 characters or more).");
+		return text.toString();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/api/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages exchanged with model engines and with operators.
+ */
+package org.skylarkspring.entry.api;
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/http/HttpReply.java
@@ -0,0 +1,11 @@
+package org.skylarkspring.entry.http;
+
+/**
+ * A whole HTTP response.
+ *
+ * @param status HTTP status
+ * @param contentType media type, empty if none was given
+ * @param body text of the body
+ */
+public record HttpReply(int status, String contentType, String body) {
+}
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/ControlState.java
@@ -0,0 +1,136 @@
+package org.skylarkspring.entry.internal;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.event.Event;
+import org.skylarkspring.core.model.Directive;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.core.model.InstanceRole;
+import org.skylarkspring.core.model.RampRecord;
+
+/**
+ * Control knowledge of this instance that peers, platform and operators exchange. The
+ * core holds the same facts; this copy may be read by any thread.
+ */
+final class ControlState {
+
+	private final Consumer<Event> core;
+
+	private final ServiceDirectory directory;
+
+	private final Map<String, Directive> directives = new ConcurrentHashMap<>();
+
+	private final Map<String, RampRecord> ramps = new ConcurrentHashMap<>();
+
+	private final Map<String, PeerMessages.Digest> peers = new ConcurrentHashMap<>();
+
+	private volatile PeerMessages.InstanceList instances = new PeerMessages.InstanceList(0, List.of());
+
+	ControlState(Consumer<Event> core, ServiceDirectory directory) {
+		this.core = core;
+		this.directory = directory;
+	}
+
+	long revision() {
+		return configuration().map(Configuration::revision).orElse(0L);
+	}
+
+	Optional<Configuration> configuration() {
+		return this.directory.configuration();
+	}
+
+	/**
+	 * Applies a configuration if its revision is higher than the one in force.
+	 * @param offered the configuration
+	 * @return whether it was applied
+	 */
+	synchronized boolean offer(Configuration offered) {
+		if (offered.revision() <= revision()) {
+			return false;
+		}
+		this.directory.apply(offered);
+		this.core.accept(new Event.ConfigurationOffered(offered));
+		return true;
+	}
+
+	PeerMessages.InstanceList instances() {
+		return this.instances;
+	}
+
+	synchronized boolean offer(PeerMessages.InstanceList offered) {
+		if (offered.version() <= this.instances.version()) {
+			return false;
+		}
+		this.instances = offered;
+		this.core.accept(new Event.InstancesListed(offered.instances()));
+		return true;
+	}
+
+	List<InstanceRecord> entryInstances() {
+		return this.instances.instances().stream().filter((row) -> row.role() == InstanceRole.ENTRY).toList();
+	}
+
+	/**
+	 * Merges directives.
+	 * @param offered the directives
+	 * @return whether any of them was new
+	 */
+	synchronized boolean offer(List<Directive> offered) {
+		List<Directive> newer = offered.stream().filter(this::newer).toList();
+		newer.forEach((directive) -> this.directives.put(key(directive), directive));
+		if (!newer.isEmpty()) {
+			this.core.accept(new Event.DirectivesOffered(newer));
+		}
+		return !newer.isEmpty();
+	}
+
+	List<Directive> directives() {
+		return this.directives.values().stream().sorted(Comparator.comparing(ControlState::key)).toList();
+	}
+
+	int directivesDigest() {
+		return directives().hashCode();
+	}
+
+	long nextDirectiveCounter() {
+		return this.directives.values().stream().mapToLong(Directive::counter).max().orElse(0) + 1;
+	}
+
+	void ramps(List<RampRecord> known) {
+		known.forEach((ramp) -> this.ramps.put(ramp.serverId(), ramp));
+	}
+
+	List<RampRecord> ramps() {
+		return List.copyOf(this.ramps.values());
+	}
+
+	void offerRamps(List<RampRecord> offered) {
+		if (!offered.isEmpty()) {
+			this.core.accept(new Event.RampsOffered(offered));
+		}
+	}
+
+	void seen(PeerMessages.Digest digest) {
+		this.peers.put(digest.instanceId(), digest);
+	}
+
+	Map<String, PeerMessages.Digest> peers() {
+		return this.peers;
+	}
+
+	private boolean newer(Directive directive) {
+		Directive known = this.directives.get(key(directive));
+		return known == null || directive.replaces(known);
+	}
+
+	private static String key(Directive directive) {
+		return directive.targetKind() + "/" + directive.target();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/CoreLoop.java
@@ -0,0 +1,108 @@
+package org.skylarkspring.entry.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.skylarkspring.core.DecisionCore;
+import org.skylarkspring.core.action.Action;
+import org.skylarkspring.core.action.ActionHandler;
+import org.skylarkspring.core.event.Event;
+
+/**
+ * The thread that owns the decision core: it collects events, steps the core and hands
+ * its actions over.
+ */
+final class CoreLoop {
+
+	private static final Logger logger = LoggerFactory.getLogger(CoreLoop.class);
+
+	private static final long TICK_MILLIS = 20;
+
+	private static final int MAXIMUM_EVENTS_PER_STEP = 1_000;
+
+	private final DecisionCore core;
+
+	private final ActionHandler actions;
+
+	private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+
+	private final LinkedBlockingQueue<Runnable> queries = new LinkedBlockingQueue<>();
+
+	private final Thread thread = new Thread(this::run, "core");
+
+	private volatile boolean stopped;
+
+	CoreLoop(DecisionCore core, ActionHandler actions) {
+		this.core = core;
+		this.actions = actions;
+	}
+
+	void start() {
+		this.thread.setDaemon(true);
+		this.thread.start();
+	}
+
+	void stop() {
+		this.stopped = true;
+	}
+
+	void post(Event event) {
+		this.events.add(event);
+	}
+
+	/**
+	 * Reads from the core between two steps.
+	 * @param query what to read
+	 * @param <T> type of the result
+	 * @return the result
+	 */
+	<T> CompletableFuture<T> query(Function<DecisionCore, T> query) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		this.queries.add(() -> result.complete(query.apply(this.core)));
+		return result;
+	}
+
+	static long nowMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	}
+
+	private void run() {
+		while (!this.stopped) {
+			try {
+				step();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+			catch (RuntimeException ex) {
+				logger.error("step of the decision core failed", ex);
+			}
+		}
+	}
+
+	private void step() throws InterruptedException {
+		List<Event> batch = new ArrayList<>();
+		Event first = this.events.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
+		if (first != null) {
+			batch.add(first);
+			this.events.drainTo(batch, MAXIMUM_EVENTS_PER_STEP);
+		}
+		for (Action action : this.core.step(batch, nowMillis())) {
+			action.handOver(this.actions);
+		}
+		Runnable query = this.queries.poll();
+		while (query != null) {
+			query.run();
+			query = this.queries.poll();
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
@@ -0,0 +1,175 @@
+package org.skylarkspring.entry.internal;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.model.Directive;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.entry.EntrySettings;
+import org.skylarkspring.entry.http.Json;
+
+/**
+ * Follows the platform's objects. Only a few instances of each data centre watch them;
+ * the others learn of changes from peers and read the platform now and then.
+ */
+final class PlatformSync {
+
+	static final String CONFIGURATION = "configuration";
+
+	static final String INSTANCES = "instances";
+
+	static final String DIRECTIVES = "directives";
+
+	private static final Logger logger = LoggerFactory.getLogger("skylarkspring.state");
+
+	private static final int WATCHERS_PER_DATA_CENTRE = 2;
+
+	private static final long WATCH_MILLIS = 20_000;
+
+	private static final long RETRY_MILLIS = 1_000;
+
+	private static final long OCCASIONAL_READ_MILLIS = 60_000;
+
+	private final EntrySettings settings;
+
+	private final ControlState state;
+
+	private final PlatformClient platform;
+
+	private final ScheduledExecutorService scheduler;
+
+	private final Runnable learned;
+
+	private volatile boolean platformReached = true;
+
+	private volatile boolean stopped;
+
+	PlatformSync(EntrySettings settings, ControlState state, PlatformClient platform,
+			ScheduledExecutorService scheduler, Runnable learned) {
+		this.settings = settings;
+		this.state = state;
+		this.platform = platform;
+		this.scheduler = scheduler;
+		this.learned = learned;
+	}
+
+	void start() {
+		List.of(INSTANCES, CONFIGURATION, DIRECTIVES).forEach((key) -> follow(key, 0));
+	}
+
+	void stop() {
+		this.stopped = true;
+	}
+
+	/**
+	 * Writes directives that the platform does not hold yet.
+	 */
+	void saveDirectives() {
+		this.platform.read(DIRECTIVES).thenAccept((result) -> {
+			long version = (result instanceof PlatformResult.Found found) ? found.version() : 0;
+			if (result instanceof PlatformResult.Found || result instanceof PlatformResult.Absent) {
+				take(DIRECTIVES, result);
+				saveDirectivesOver(version);
+				return;
+			}
+			this.scheduler.schedule(this::saveDirectives, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+		});
+	}
+
+	private void saveDirectivesOver(long version) {
+		String value = Json.write(new DirectiveList(this.state.directives()));
+		this.platform.write(DIRECTIVES, version, value).thenAccept((written) -> {
+			if (!(written instanceof PlatformResult.Written)) {
+				this.scheduler.schedule(this::saveDirectives, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		});
+	}
+
+	private void follow(String key, long knownVersion) {
+		if (this.stopped) {
+			return;
+		}
+		boolean first = knownVersion == 0;
+		this.platform.watch(key, knownVersion, first ? 0 : WATCH_MILLIS).thenAccept((result) -> {
+			reached(!(result instanceof PlatformResult.Unavailable || result instanceof PlatformResult.Lost));
+			take(key, result);
+			long version = (result instanceof PlatformResult.Found found) ? found.version() : knownVersion;
+			boolean changed = version != knownVersion && watcher();
+			long pauseMillis = watcher() ? RETRY_MILLIS : OCCASIONAL_READ_MILLIS;
+			boolean waited = result instanceof PlatformResult.Found && !first;
+			long delayMillis = (changed || (waited && watcher())) ? 1 : jittered(pauseMillis);
+			this.scheduler.schedule(() -> follow(key, version), delayMillis, TimeUnit.MILLISECONDS);
+		});
+	}
+
+	private void take(String key, PlatformResult result) {
+		if (!(result instanceof PlatformResult.Found found)) {
+			return;
+		}
+		boolean news = switch (key) {
+			case CONFIGURATION -> Json.read(found.json(), Configuration.class)
+				.map((configuration) -> takeConfiguration(configuration, found.version()))
+				.orElse(false);
+			case INSTANCES -> Json.read(found.json(), InstanceRecord[].class)
+				.map((rows) -> this.state.offer(new PeerMessages.InstanceList(found.version(), List.of(rows))))
+				.orElse(false);
+			default -> Json.read(found.json(), DirectiveList.class)
+				.map((list) -> this.state.offer(list.directives()))
+				.orElse(false);
+		};
+		if (news) {
+			this.learned.run();
+		}
+	}
+
+	// A store that came back with an older revision is brought up to date again.
+	private boolean takeConfiguration(Configuration stored, long version) {
+		Optional<Configuration> known = this.state.configuration();
+		if (known.isPresent() && stored.revision() < known.get().revision()) {
+			logger.warn("configuration: store holds revision {}, writing revision {} back", stored.revision(),
+					known.get().revision());
+			this.platform.write(CONFIGURATION, version, Json.write(known.get()));
+			return false;
+		}
+		return this.state.offer(stored);
+	}
+
+	private boolean watcher() {
+		List<String> order = this.state.entryInstances()
+			.stream()
+			.filter((row) -> row.dataCentre().equals(this.settings.dataCentre()))
+			.map(InstanceRecord::instanceId)
+			.sorted(Comparator.naturalOrder())
+			.limit(WATCHERS_PER_DATA_CENTRE)
+			.toList();
+		return order.isEmpty() || order.contains(this.settings.instanceId());
+	}
+
+	private void reached(boolean now) {
+		if (now != this.platformReached) {
+			this.platformReached = now;
+			logger.info("platform: {}", now ? "reached again" : "not reached");
+		}
+	}
+
+	private static long jittered(long millis) {
+		return millis / 2 + ThreadLocalRandom.current().nextLong(millis);
+	}
+
+	/**
+	 * Directives as the platform holds them.
+	 *
+	 * @param directives all directives
+	 */
+	record DirectiveList(List<Directive> directives) {
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/ServiceDirectory.java
@@ -0,0 +1,77 @@
+package org.skylarkspring.entry.internal;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.config.ServicePolicy;
+import org.skylarkspring.core.config.WorkspacePolicy;
+
+/**
+ * Finds workspaces by their bearer key and services by their name. May be read by any
+ * thread.
+ */
+final class ServiceDirectory {
+
+	private static final long DEFAULT_MAXIMUM_BODY_BYTES = 262_144;
+
+	private volatile Configuration configuration;
+
+	private volatile Map<String, WorkspacePolicy> workspacesByKeyDigest = Map.of();
+
+	private volatile Map<String, ServicePolicy> services = Map.of();
+
+	void apply(Configuration applied) {
+		this.workspacesByKeyDigest = applied.workspaces()
+			.stream()
+			.collect(Collectors.toMap(WorkspacePolicy::keyDigest, Function.identity(), (first, second) -> first));
+		this.services = applied.services()
+			.stream()
+			.collect(Collectors.toMap(ServicePolicy::name, Function.identity(), (first, second) -> first));
+		this.configuration = applied;
+	}
+
+	Optional<Configuration> configuration() {
+		return Optional.ofNullable(this.configuration);
+	}
+
+	Optional<WorkspacePolicy> workspace(String authorization) {
+		String bearer = "Bearer ";
+		if (authorization == null || !authorization.startsWith(bearer)) {
+			return Optional.empty();
+		}
+		return Optional.ofNullable(this.workspacesByKeyDigest.get(digest(authorization.substring(bearer.length()))));
+	}
+
+	Optional<ServicePolicy> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	long maximumBodyBytes() {
+		return this.services.values()
+			.stream()
+			.mapToLong(ServicePolicy::maximumBodyBytes)
+			.max()
+			.orElse(DEFAULT_MAXIMUM_BODY_BYTES);
+	}
+
+	static String digest(String text) {
+		return digest(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	static String digest(byte[] bytes) {
+		try {
+			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is missing", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/StoreGateway.java
@@ -0,0 +1,64 @@
+package org.skylarkspring.entry.internal;
+
+import java.util.Optional;
+
+import org.skylarkspring.core.action.Action;
+import org.skylarkspring.core.event.Event;
+import org.skylarkspring.core.model.StoreAnswer;
+import org.skylarkspring.core.model.StoredObject;
+import org.skylarkspring.entry.http.Json;
+
+/**
+ * Carries out the core's store operations and gives the answers back to it.
+ */
+final class StoreGateway {
+
+	private static final String CLAIMS = "claims/";
+
+	private final PlatformClient platform;
+
+	private CoreLoop loop;
+
+	StoreGateway(PlatformClient platform) {
+		this.platform = platform;
+	}
+
+	void connect(CoreLoop coreLoop) {
+		this.loop = coreLoop;
+	}
+
+	void write(Action.StoreWrite action) {
+		this.platform.write(action.key(), action.expectedVersion(), Json.write(action.value()))
+			.thenAccept((result) -> answer(action.operationId(), action.key(), result));
+	}
+
+	void read(Action.StoreRead action) {
+		this.platform.read(action.key()).thenAccept((result) -> answer(action.operationId(), action.key(), result));
+	}
+
+	private void answer(long operationId, String key, PlatformResult result) {
+		this.loop.post(new Event.StoreAnswered(operationId, convert(key, result)));
+	}
+
+	private static StoreAnswer convert(String key, PlatformResult result) {
+		if (result instanceof PlatformResult.Written written) {
+			return new StoreAnswer.Written(written.version());
+		}
+		if (result instanceof PlatformResult.Found found) {
+			return value(key, found.json()).<StoreAnswer>map((value) -> new StoreAnswer.Found(found.version(), value))
+				.orElseGet(StoreAnswer.Unavailable::new);
+		}
+		if (result instanceof PlatformResult.Absent) {
+			return new StoreAnswer.Absent();
+		}
+		return (result instanceof PlatformResult.Lost) ? new StoreAnswer.Lost() : new StoreAnswer.Unavailable();
+	}
+
+	private static Optional<StoredObject> value(String key, String json) {
+		if (key.startsWith(CLAIMS)) {
+			return Json.read(json, StoredObject.Claim.class).map(StoredObject.class::cast);
+		}
+		return Json.read(json, StoredObject.Lease.class).map(StoredObject.class::cast);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Parts of the entry instance. Not part of the public surface.
+ */
+package org.skylarkspring.entry.internal;
--- /dev/null
+++ b/entry/src/test/java/org/skylarkspring/entry/http/SseParserTests.java
@@ -0,0 +1,60 @@
+package org.skylarkspring.entry.http;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link SseParser}.
+ */
+class SseParserTests {
+
+	private final List<String> events = new ArrayList<>();
+
+	private final SseParser parser = new SseParser(this.events::add);
+
+	private void feed(String text) {
+		this.parser.feed(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+	}
+
+	@Test
+	void joinsEventsThatAreSplitAnywhere() {
+		String stream = "id: 1\ndata: {\"text\":\"día\"}\n\n: comment\ndata: two\r\n\r\n";
+		byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
+		for (byte next : bytes) {
+			this.parser.feed(ByteBuffer.wrap(new byte[] { next }));
+		}
+		assertThat(this.events, contains("{\"text\":\"día\"}", "two"));
+	}
+
+	@Test
+	void keepsIncompleteEventsBack() {
+		feed("data: one\n");
+		assertThat(this.events.isEmpty(), is(true));
+	}
+
+	@Test
+	void boundsTheMemoryOfOneLine() {
+		String piece = "x".repeat(64 * 1024);
+		int accepted = 0;
+		try {
+			while (accepted < 8) {
+				feed(piece);
+				accepted++;
+			}
+		}
+		catch (IllegalStateException ex) {
+			assertThat(accepted, is(4));
+			return;
+		}
+		throw new AssertionError("a line without end was accepted");
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/skylarkspring/entry/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the HTTP client.
+ */
+package org.skylarkspring.entry.http;
