--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Deployment.java
@@ -0,0 +1,104 @@
+package org.skylarkspring.bench.experiment;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.skylarkspring.bench.model.EngineProfile;
+import org.skylarkspring.bench.model.OutputLengths;
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.config.DataCentrePolicy;
+import org.skylarkspring.core.config.PoolPolicy;
+import org.skylarkspring.core.config.ServiceKind;
+import org.skylarkspring.core.config.ServicePolicy;
+import org.skylarkspring.core.config.WorkspacePolicy;
+import org.skylarkspring.core.model.WorkClass;
+
+/**
+ * A deployment to experiment with.
+ *
+ * @param name name shown in tables
+ * @param service name of the model service
+ * @param dataCentres its data centres
+ * @param engines number of engines, spread over the data centres
+ * @param entries number of entry instances, spread over the data centres
+ * @param profile speed and memory of an engine
+ * @param lengths lengths of generations
+ * @param workspaces its workspaces with their part of the load
+ */
+public record Deployment(String name, String service, List<String> dataCentres, int engines, int entries,
+		EngineProfile profile, OutputLengths lengths, List<WorkspaceLoad> workspaces) {
+
+	private static final int FULL_CONCURRENCY = 64;
+
+	private static final long WARMUP_MILLIS = 30_000;
+
+	private static final OutputLengths LENGTHS = new OutputLengths(180, 1.2, 16_000);
+
+	/**
+	 * Returns the deployment of the diaries: mostly drafts with deadlines.
+	 * @return the deployment
+	 */
+	public static Deployment cuadernoAustral() {
+		return new Deployment("cuaderno-austral", "modelo-editorial",
+				List.of("ar-centro-a", "ar-centro-b", "ar-centro-c"), 8, 7, EngineProfile.standard(), LENGTHS,
+				workspaces(WorkClass.DEADLINE, WorkClass.INTERACTIVE));
+	}
+
+	/**
+	 * Returns the deployment of the care plans: mostly answers read as they stream.
+	 * @return the deployment
+	 */
+	public static Deployment ingendo() {
+		return new Deployment("ingendo", "inyigisho", List.of("kigali-a", "kigali-b", "kigali-c"), 6, 6,
+				EngineProfile.standard(), LENGTHS, workspaces(WorkClass.INTERACTIVE, WorkClass.DEADLINE));
+	}
+
+	/**
+	 * Returns the same deployment with other lengths.
+	 * @param newLengths lengths of generations
+	 * @return a new deployment
+	 */
+	public Deployment withLengths(OutputLengths newLengths) {
+		return new Deployment(this.name, this.service, this.dataCentres, this.engines, this.entries, this.profile,
+				newLengths, this.workspaces);
+	}
+
+	String dataCentre(int index) {
+		return this.dataCentres.get(index % this.dataCentres.size());
+	}
+
+	Configuration configuration() {
+		List<DataCentrePolicy> centres = this.dataCentres.stream()
+			.map((centre) -> new DataCentrePolicy(centre, "region"))
+			.toList();
+		PoolPolicy pool = new PoolPolicy(this.service, this.dataCentres, WARMUP_MILLIS, this.profile.coldBatch(),
+				FULL_CONCURRENCY, 2 * this.entries);
+		ServicePolicy model = new ServicePolicy(this.service, ServiceKind.GENERATION, this.service, 1_800, 66, 10_000,
+				262_144, 86_400_000);
+		List<WorkspacePolicy> policies = this.workspaces.stream()
+			.map((load) -> new WorkspacePolicy(load.name(), load.name(), load.weight(), load.workClass(),
+					List.of(this.service)))
+			.toList();
+		return new Configuration(1, "experiment", List.of(model), List.of(pool), policies, centres);
+	}
+
+	// A few workspaces bring most of the load.
+	private static List<WorkspaceLoad> workspaces(WorkClass main, WorkClass other) {
+		double[] parts = { 0.38, 0.22, 0.12, 0.08, 0.05, 0.05, 0.04, 0.03, 0.02, 0.01 };
+		return IntStream.range(0, parts.length)
+			.mapToObj((index) -> new WorkspaceLoad("w" + index, (index % 4 == 3) ? other : main, 1, parts[index]))
+			.toList();
+	}
+
+	/**
+	 * The load of one workspace.
+	 *
+	 * @param name name of the workspace
+	 * @param workClass its class
+	 * @param weight its share
+	 * @param part its part of all requests
+	 */
+	public record WorkspaceLoad(String name, WorkClass workClass, int weight, double part) {
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/EntryActor.java
@@ -0,0 +1,303 @@
+package org.skylarkspring.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.skylarkspring.bench.model.EngineJob;
+import org.skylarkspring.core.AnswerSequence;
+import org.skylarkspring.core.DecisionCore;
+import org.skylarkspring.core.action.Action;
+import org.skylarkspring.core.action.ActionHandler;
+import org.skylarkspring.core.event.Event;
+import org.skylarkspring.core.model.AttemptResult;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.core.model.Verdict;
+
+/**
+ * An entry instance on the virtual clock: the decision core with engines and store at the
+ * other end of its actions.
+ */
+public final class EntryActor implements ActionHandler {
+
+	private static final long TICK_MICROS = 20 * VirtualTime.MILLI;
+
+	private static final long STEP_DELAY_MICROS = 200;
+
+	private static final long LATENCY_MICROS = VirtualTime.MILLI / 2;
+
+	private static final long POLL_MICROS = 500 * VirtualTime.MILLI;
+
+	private static final long PROGRESS_MICROS = 100 * VirtualTime.MILLI;
+
+	private final VirtualTime time;
+
+	private final DecisionCore core;
+
+	private final Map<String, EngineActor> engines;
+
+	private final StoreActor store;
+
+	private final Recorder recorder;
+
+	private final Map<Long, OpenRequest> requests = new HashMap<>();
+
+	private final Map<Long, OpenRequest> attempts = new HashMap<>();
+
+	private final Map<String, Long> cacheSequences = new HashMap<>();
+
+	private List<Event> pending = new ArrayList<>();
+
+	private boolean stepScheduled;
+
+	private boolean alive = true;
+
+	private long lastRequestId;
+
+	EntryActor(VirtualTime time, DecisionCore core, Map<String, EngineActor> engines, StoreActor store,
+			Recorder recorder, long phaseMicros) {
+		this.time = time;
+		this.core = core;
+		this.engines = engines;
+		this.store = store;
+		this.recorder = recorder;
+		time.every(phaseMicros % TICK_MICROS, TICK_MICROS, this::step);
+		time.every(phaseMicros % POLL_MICROS, POLL_MICROS, this::poll);
+	}
+
+	/**
+	 * Returns the core, for reading.
+	 * @return the core
+	 */
+	public DecisionCore core() {
+		return this.core;
+	}
+
+	/**
+	 * Hands an event to the core.
+	 * @param event the event
+	 */
+	public void post(Event event) {
+		this.pending.add(event);
+		if (!this.stepScheduled) {
+			this.stepScheduled = true;
+			this.time.after(STEP_DELAY_MICROS, () -> {
+				this.stepScheduled = false;
+				step();
+			});
+		}
+	}
+
+	/** Ends the instance at once; its callers' connections break. */
+	public void kill() {
+		this.alive = false;
+		this.attempts.values().forEach(OpenRequest::cancelCall);
+		this.requests.values().forEach((request) -> this.recorder.cut(request.request));
+		this.requests.clear();
+		this.attempts.clear();
+	}
+
+	/**
+	 * Returns whether the instance runs.
+	 * @return {@code false} after {@link #kill()}
+	 */
+	public boolean alive() {
+		return this.alive;
+	}
+
+	void submit(SimulatedRequest request, Recorder.Finished finished) {
+		this.lastRequestId++;
+		OpenRequest open = new OpenRequest(this.lastRequestId, request, this.time.nowMicros(), finished);
+		this.requests.put(this.lastRequestId, open);
+		post(new Event.RequestArrived(this.lastRequestId, request.spec()));
+	}
+
+	@Override
+	public void dispatch(Action.Dispatch action) {
+		OpenRequest open = this.requests.get(action.requestId());
+		if (open != null) {
+			this.attempts.put(action.attemptId(), open);
+			open.dispatch(action);
+		}
+	}
+
+	@Override
+	public void cancelAttempt(Action.CancelAttempt action) {
+		Optional.ofNullable(this.attempts.remove(action.attemptId())).ifPresent(OpenRequest::cancelCall);
+	}
+
+	@Override
+	public void finishRequest(Action.FinishRequest action) {
+		OpenRequest open = this.requests.remove(action.requestId());
+		if (open != null) {
+			this.recorder.finished(open.request, action.outcome(), open.sequence.delivered(),
+					this.time.nowMicros() - open.arrivedMicros, open.firstTokenMicros);
+			open.finished.finished(action.outcome());
+		}
+	}
+
+	@Override
+	public void storeWrite(Action.StoreWrite action) {
+		this.store.write(action.key(), action.expectedVersion(), action.value(),
+				(answer) -> post(new Event.StoreAnswered(action.operationId(), answer)));
+	}
+
+	@Override
+	public void storeRead(Action.StoreRead action) {
+		this.store.read(action.key(), (answer) -> post(new Event.StoreAnswered(action.operationId(), answer)));
+	}
+
+	@Override
+	public void stateChanged(Action.StateChanged action) {
+		this.recorder.stateChanged();
+	}
+
+	@Override
+	public void shutdownComplete(Action.ShutdownComplete action) {
+		this.alive = false;
+	}
+
+	private void step() {
+		if (!this.alive) {
+			return;
+		}
+		List<Event> events = this.pending;
+		this.pending = new ArrayList<>();
+		this.core.step(events, this.time.nowMillis()).forEach((action) -> action.handOver(this));
+	}
+
+	private void poll() {
+		if (this.alive) {
+			this.core.polledServers().forEach(this::poll);
+		}
+	}
+
+	private void poll(InstanceRecord server) {
+		EngineActor engine = this.engines.get(server.instanceId());
+		engine.laggingReport().ifPresent((report) -> {
+			post(new Event.LoadReported(report));
+			long known = this.cacheSequences.getOrDefault(server.instanceId(), 0L);
+			engine.cacheChangesAfter(known).forEach((change) -> {
+				this.cacheSequences.put(server.instanceId(), change.sequence());
+				post(new Event.CacheChanged(server.instanceId(), change.sequence(), change.prefixHash(),
+						change.cached()));
+			});
+		});
+	}
+
+	/**
+	 * A request without a final answer.
+	 */
+	private final class OpenRequest implements EngineActor.TokenReceiver {
+
+		private final SimulatedRequest request;
+
+		private final long arrivedMicros;
+
+		private final Recorder.Finished finished;
+
+		private final AnswerSequence sequence = new AnswerSequence();
+
+		private long attemptId;
+
+		private EngineActor engine;
+
+		private String generation;
+
+		private long firstTokenMicros = -1;
+
+		private long lastTokenMicros;
+
+		private long lastProgressMicros;
+
+		private OpenRequest(long requestId, SimulatedRequest request, long arrivedMicros, Recorder.Finished finished) {
+			this.request = request;
+			this.arrivedMicros = arrivedMicros;
+			this.finished = finished;
+		}
+
+		private void dispatch(Action.Dispatch action) {
+			this.attemptId = action.attemptId();
+			this.engine = EntryActor.this.engines.get(action.serverId());
+			long current = this.attemptId;
+			if (!this.sequence.begin(current, action.resumeOffset()) || action.resumeOffset() > 0) {
+				fail(Verdict.MAY_HAVE_RUN);
+				return;
+			}
+			EntryActor.this.time.after(LATENCY_MICROS, () -> send(current, action.enginePriority()));
+		}
+
+		private void send(long current, int priority) {
+			if (current != this.attemptId || this.engine == null) {
+				return;
+			}
+			EngineJob job = new EngineJob("", this.request.spec().promptTokens(), this.request.spec().prefixHash(),
+					this.request.spec().prefixTokens(), this.request.outputTokens(), priority);
+			Optional<String> started = this.engine.submit(job, this);
+			if (started.isEmpty()) {
+				fail(Verdict.NOT_RUN);
+				return;
+			}
+			this.generation = started.get();
+		}
+
+		@Override
+		public void token(String from, int offset, boolean last) {
+			long current = this.attemptId;
+			EntryActor.this.time.after(LATENCY_MICROS, () -> received(current, from, offset, last));
+		}
+
+		@Override
+		public void cut() {
+			long current = this.attemptId;
+			EntryActor.this.time.after(LATENCY_MICROS, () -> {
+				if (current == this.attemptId && this.engine != null) {
+					fail(Verdict.MAY_HAVE_RUN);
+				}
+			});
+		}
+
+		private void received(long fromAttempt, String from, int offset, boolean last) {
+			if (!EntryActor.this.alive
+					|| this.sequence.admit(fromAttempt, from, offset) != AnswerSequence.Admission.DELIVER) {
+				return;
+			}
+			long now = EntryActor.this.time.nowMicros();
+			if (offset == 0) {
+				this.firstTokenMicros = now - this.arrivedMicros;
+			}
+			else {
+				EntryActor.this.recorder.betweenTokens(this.request, now - this.lastTokenMicros);
+			}
+			this.lastTokenMicros = now;
+			if (offset == 0 || now - this.lastProgressMicros >= PROGRESS_MICROS) {
+				this.lastProgressMicros = now;
+				post(new Event.TokensReceived(fromAttempt, this.sequence.delivered()));
+			}
+			if (last) {
+				this.engine = null;
+				EntryActor.this.attempts.remove(fromAttempt);
+				post(new Event.AttemptEnded(fromAttempt, new AttemptResult.Generated(this.sequence.delivered())));
+			}
+		}
+
+		private void fail(Verdict verdict) {
+			this.engine = null;
+			EntryActor.this.attempts.remove(this.attemptId);
+			post(new Event.TokensReceived(this.attemptId, this.sequence.delivered()));
+			post(new Event.AttemptEnded(this.attemptId, new AttemptResult.Failed(verdict, false)));
+		}
+
+		private void cancelCall() {
+			if (this.engine != null && this.generation != null) {
+				this.engine.cancel(this.generation);
+			}
+			this.engine = null;
+			this.generation = null;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/SimulatedRequest.java
@@ -0,0 +1,20 @@
+package org.skylarkspring.bench.experiment;
+
+import org.skylarkspring.core.model.RequestSpec;
+import org.skylarkspring.core.model.WorkClass;
+
+/**
+ * A caller's request in an experiment.
+ *
+ * @param spec what the core is told
+ * @param workClass class of the workspace
+ * @param outputTokens tokens the generation will have, unknown to the core
+ * @param tries earlier tries of the same request
+ */
+public record SimulatedRequest(RequestSpec spec, WorkClass workClass, int outputTokens, int tries) {
+
+	SimulatedRequest again() {
+		return new SimulatedRequest(this.spec, this.workClass, this.outputTokens, this.tries + 1);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Variants.java
@@ -0,0 +1,75 @@
+package org.skylarkspring.bench.experiment;
+
+import java.util.List;
+
+import org.skylarkspring.core.policy.AdmissionRules;
+import org.skylarkspring.core.policy.CorePolicy;
+import org.skylarkspring.core.policy.MemoryPromises;
+import org.skylarkspring.core.policy.PlacementCosts;
+
+/**
+ * Named policies that experiments compare.
+ */
+public final class Variants {
+
+	private Variants() {
+	}
+
+	/**
+	 * Returns all variants, baselines first.
+	 * @return the policies
+	 */
+	public static List<CorePolicy> all() {
+		return List.of(roundRobin(), leastOutstanding(), reserveNothing(), reserveMaximum(), reserveMean(), firstCome(),
+				withoutPrefix(), standard());
+	}
+
+	/**
+	 * Returns the variants of a short run.
+	 * @return the policies
+	 */
+	public static List<CorePolicy> main() {
+		return List.of(roundRobin(), leastOutstanding(), standard());
+	}
+
+	/**
+	 * Returns the policy in use.
+	 * @return the policy
+	 */
+	public static CorePolicy standard() {
+		return CorePolicy.builder().name("standard").build();
+	}
+
+	static CorePolicy leastOutstanding() {
+		return baseline().name("least-outstanding").cost(PlacementCosts.leastOutstanding()).build();
+	}
+
+	static CorePolicy roundRobin() {
+		return baseline().name("round-robin").cost(PlacementCosts.roundRobin()).costJitter(0).build();
+	}
+
+	static CorePolicy reserveNothing() {
+		return CorePolicy.builder().name("reserve-nothing").promise(MemoryPromises.none()).build();
+	}
+
+	static CorePolicy reserveMaximum() {
+		return CorePolicy.builder().name("reserve-maximum").promise(MemoryPromises.maximum()).build();
+	}
+
+	static CorePolicy reserveMean() {
+		return CorePolicy.builder().name("reserve-mean").promise(MemoryPromises.mean()).build();
+	}
+
+	static CorePolicy firstCome() {
+		return CorePolicy.builder().name("first-come").fairQueueing(false).build();
+	}
+
+	static CorePolicy withoutPrefix() {
+		return CorePolicy.builder().name("no-prefix").cost(PlacementCosts.load()).build();
+	}
+
+	private static CorePolicy.Builder baseline() {
+		return CorePolicy.builder().admission(AdmissionRules.always()).fairQueueing(false).earlyRefusal(false);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/World.java
@@ -0,0 +1,210 @@
+package org.skylarkspring.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+import org.skylarkspring.core.DecisionCore;
+import org.skylarkspring.core.event.Event;
+import org.skylarkspring.core.model.Directive;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.core.model.InstanceRole;
+import org.skylarkspring.core.model.InstanceState;
+import org.skylarkspring.core.model.RampRecord;
+import org.skylarkspring.core.policy.CorePolicy;
+
+/**
+ * One deployment on one virtual clock.
+ */
+public final class World {
+
+	/** Time by which knowledge of one instance reaches another. */
+	private static final long GOSSIP_MICROS = 500 * VirtualTime.MILLI;
+
+	private static final long WARM_MILLIS = 10_000_000;
+
+	private final VirtualTime time = new VirtualTime();
+
+	private final Deployment deployment;
+
+	private final CorePolicy policy;
+
+	private final long seed;
+
+	private final Map<String, EngineActor> engines = new LinkedHashMap<>();
+
+	private final List<EntryActor> entries = new ArrayList<>();
+
+	private final List<InstanceRecord> entryRows = new ArrayList<>();
+
+	private final StoreActor store = new StoreActor(this.time);
+
+	private final Recorder recorder;
+
+	private long directiveCounter;
+
+	/**
+	 * Creates a deployment whose engines are warm.
+	 * @param deployment the deployment
+	 * @param policy policy of all entry instances
+	 * @param seed seed of all random choices
+	 * @param fromMillis start of the measured time
+	 * @param toMillis end of the measured time
+	 */
+	public World(Deployment deployment, CorePolicy policy, long seed, long fromMillis, long toMillis) {
+		this.deployment = deployment;
+		this.policy = policy;
+		this.seed = seed;
+		this.recorder = new Recorder(this.time, fromMillis, toMillis);
+		for (int index = 0; index < deployment.engines(); index++) {
+			String name = "engine-" + index;
+			this.engines.put(name, new EngineActor(this.time, name, deployment.service(), deployment.dataCentre(index),
+					deployment.profile(), seed + index));
+		}
+		for (int index = 0; index < deployment.entries(); index++) {
+			addEntry("entry-" + index, deployment.dataCentre(index));
+		}
+		publishList();
+		List<RampRecord> warm = this.engines.keySet()
+			.stream()
+			.map((name) -> new RampRecord(name, 1, 0, WARM_MILLIS))
+			.toList();
+		this.entries.forEach((entry) -> entry.post(new Event.RampsOffered(warm)));
+		this.time.every(GOSSIP_MICROS, GOSSIP_MICROS, this::gossip);
+	}
+
+	/**
+	 * Returns the clock.
+	 * @return the clock
+	 */
+	public VirtualTime time() {
+		return this.time;
+	}
+
+	/**
+	 * Returns the deployment.
+	 * @return the deployment
+	 */
+	public Deployment deployment() {
+		return this.deployment;
+	}
+
+	/**
+	 * Returns the store.
+	 * @return the store
+	 */
+	public StoreActor store() {
+		return this.store;
+	}
+
+	/**
+	 * Returns what callers got.
+	 * @return the record
+	 */
+	public Recorder recorder() {
+		return this.recorder;
+	}
+
+	/**
+	 * Returns the engines.
+	 * @return the engines in order
+	 */
+	public List<EngineActor> engines() {
+		return List.copyOf(this.engines.values());
+	}
+
+	/**
+	 * Returns the entry instances, killed ones included.
+	 * @return the instances in the order of their start
+	 */
+	public List<EntryActor> entries() {
+		return List.copyOf(this.entries);
+	}
+
+	/**
+	 * Drains a data centre or takes it back, through one instance; the others learn of it
+	 * by gossip.
+	 * @param dataCentre name of the data centre
+	 * @param drained {@code false} to take it back
+	 */
+	public void drain(String dataCentre, boolean drained) {
+		this.directiveCounter++;
+		Directive directive = new Directive(Directive.TargetKind.DATA_CENTRE, dataCentre, drained,
+				this.directiveCounter, "entry-0");
+		for (int index = 0; index < this.entries.size(); index++) {
+			EntryActor entry = this.entries.get(index);
+			this.time.after(index * GOSSIP_MICROS / 4,
+					() -> entry.post(new Event.DirectivesOffered(List.of(directive))));
+		}
+	}
+
+	/**
+	 * Returns the engines of a data centre.
+	 * @param dataCentre name of the data centre
+	 * @return its engines
+	 */
+	public List<EngineActor> enginesOf(String dataCentre) {
+		return engines().stream().filter((engine) -> engine.listing().dataCentre().equals(dataCentre)).toList();
+	}
+
+	/**
+	 * Starts another entry instance, which learns of warm engines from its peers.
+	 * @param name name of the instance
+	 * @param dataCentre its data centre
+	 * @return the instance
+	 */
+	public EntryActor startEntry(String name, String dataCentre) {
+		EntryActor entry = addEntry(name, dataCentre);
+		this.entries.stream()
+			.filter((peer) -> peer.alive() && peer != entry)
+			.findFirst()
+			.ifPresent((peer) -> entry.post(new Event.RampsOffered(peer.core().ramps())));
+		publishList();
+		return entry;
+	}
+
+	/** Tells all instances who is live. */
+	public void publishList() {
+		List<InstanceRecord> rows = new ArrayList<>();
+		for (int index = 0; index < this.entries.size(); index++) {
+			if (this.entries.get(index).alive()) {
+				rows.add(this.entryRows.get(index));
+			}
+		}
+		this.engines.values().forEach((engine) -> rows.add(engine.listing()));
+		this.entries.forEach((entry) -> entry.post(new Event.InstancesListed(rows)));
+	}
+
+	SplittableRandom random() {
+		return new SplittableRandom(this.seed * 31 + 7);
+	}
+
+	private EntryActor addEntry(String name, String dataCentre) {
+		DecisionCore core = DecisionCore.builder(name, dataCentre)
+			.policy(this.policy)
+			.seed(this.seed + name.hashCode())
+			.build();
+		EntryActor entry = new EntryActor(this.time, core, this.engines, this.store, this.recorder,
+				1 + Math.abs(name.hashCode() * 7_919L) % 500_000);
+		this.entries.add(entry);
+		this.entryRows.add(new InstanceRecord(name, InstanceRole.ENTRY, "", dataCentre, name, InstanceState.LIVE));
+		entry.post(new Event.ConfigurationOffered(this.deployment.configuration()));
+		return entry;
+	}
+
+	private void gossip() {
+		List<RampRecord> ramps = this.entries.stream()
+			.filter(EntryActor::alive)
+			.flatMap((entry) -> entry.core().ramps().stream())
+			.filter((ramp) -> ramp.coldEpoch() > 0 || ramp.incarnation() > 1)
+			.toList();
+		if (!ramps.isEmpty()) {
+			Stream<EntryActor> live = this.entries.stream().filter(EntryActor::alive);
+			live.forEach((entry) -> entry.post(new Event.RampsOffered(ramps)));
+		}
+	}
+
+}
--- a/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
@@ -32,6 +32,8 @@
 
 	private static final int WATCHERS_PER_DATA_CENTRE = 2;
 
+	private static final long NEVER_READ = -1;
+
 	private static final long WATCH_MILLIS = 20_000;
 
 	private static final long RETRY_MILLIS = 1_000;
@@ -62,7 +64,7 @@
 	}
 
 	void start() {
-		List.of(INSTANCES, CONFIGURATION, DIRECTIVES).forEach((key) -> follow(key, 0));
+		List.of(INSTANCES, CONFIGURATION, DIRECTIVES).forEach((key) -> follow(key, NEVER_READ));
 	}
 
 	void stop() {
@@ -97,19 +99,30 @@
 		if (this.stopped) {
 			return;
 		}
-		boolean first = knownVersion == 0;
-		this.platform.watch(key, knownVersion, first ? 0 : WATCH_MILLIS).thenAccept((result) -> {
+		boolean first = knownVersion == NEVER_READ;
+		this.platform.watch(key, Math.max(0, knownVersion), first ? 0 : WATCH_MILLIS).thenAccept((result) -> {
 			reached(!(result instanceof PlatformResult.Unavailable || result instanceof PlatformResult.Lost));
 			take(key, result);
-			long version = (result instanceof PlatformResult.Found found) ? found.version() : knownVersion;
-			boolean changed = version != knownVersion && watcher();
-			long pauseMillis = watcher() ? RETRY_MILLIS : OCCASIONAL_READ_MILLIS;
-			boolean waited = result instanceof PlatformResult.Found && !first;
-			long delayMillis = (changed || (waited && watcher())) ? 1 : jittered(pauseMillis);
-			this.scheduler.schedule(() -> follow(key, version), delayMillis, TimeUnit.MILLISECONDS);
+			this.scheduler.schedule(() -> follow(key, version(result, knownVersion)), pauseMillis(result),
+					TimeUnit.MILLISECONDS);
 		});
 	}
 
+	private static long version(PlatformResult result, long knownVersion) {
+		if (result instanceof PlatformResult.Found found) {
+			return found.version();
+		}
+		return (result instanceof PlatformResult.Absent) ? 0 : knownVersion;
+	}
+
+	private long pauseMillis(PlatformResult result) {
+		boolean answered = result instanceof PlatformResult.Found || result instanceof PlatformResult.Absent;
+		if (!answered) {
+			return jittered(RETRY_MILLIS);
+		}
+		return watcher() ? 1 : jittered(OCCASIONAL_READ_MILLIS);
+	}
+
 	private void take(String key, PlatformResult result) {
 		if (!(result instanceof PlatformResult.Found found)) {
 			return;
