--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Deployment.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Deployment.java
@@ -28,6 +28,9 @@
 public record Deployment(String name, String service, List<String> dataCentres, int engines, int entries,
 		EngineProfile profile, OutputLengths lengths, List<WorkspaceLoad> workspaces) {
 
+	/** Name of the plain service of every deployment. */
+	public static final String PLAIN_SERVICE = "bookings";
+
 	private static final int FULL_CONCURRENCY = 64;
 
 	private static final long WARMUP_MILLIS = 30_000;
@@ -75,11 +78,15 @@
 				FULL_CONCURRENCY, 2 * this.entries);
 		ServicePolicy model = new ServicePolicy(this.service, ServiceKind.GENERATION, this.service, 1_800, 66, 10_000,
 				262_144, 86_400_000);
+		ServicePolicy plain = new ServicePolicy(PLAIN_SERVICE, ServiceKind.PLAIN, PLAIN_SERVICE, 1_800, 66, 10_000,
+				262_144, 86_400_000);
+		PoolPolicy plainPool = new PoolPolicy(PLAIN_SERVICE, this.dataCentres, WARMUP_MILLIS, 4, FULL_CONCURRENCY,
+				2 * this.entries);
 		List<WorkspacePolicy> policies = this.workspaces.stream()
 			.map((load) -> new WorkspacePolicy(load.name(), load.name(), load.weight(), load.workClass(),
-					List.of(this.service)))
+					List.of(this.service, PLAIN_SERVICE)))
 			.toList();
-		return new Configuration(1, "experiment", List.of(model), List.of(pool), policies, centres);
+		return new Configuration(1, "experiment", List.of(model, plain), List.of(pool, plainPool), policies, centres);
 	}
 
 	// A few workspaces bring most of the load.
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/EngineActor.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/EngineActor.java
@@ -55,6 +55,10 @@
 
 	private int highestBatch;
 
+	private long submissions;
+
+	private boolean ignoresCancel;
+
 	EngineActor(VirtualTime time, String serverId, String pool, String dataCentre, EngineProfile profile, long seed) {
 		this.time = time;
 		this.listing = new InstanceRecord(serverId, InstanceRole.BACKEND, pool, dataCentre, serverId,
@@ -91,6 +95,28 @@
 		this.time.after(RESTART_MICROS, this::restart);
 	}
 
+	/**
+	 * Breaks all connections; the engine itself goes on.
+	 */
+	public void cutStreams() {
+		List.copyOf(this.receivers.values()).forEach(TokenReceiver::cut);
+	}
+
+	/**
+	 * Makes the engine go on with cancelled generations and send their tokens late.
+	 */
+	public void ignoreCancel() {
+		this.ignoresCancel = true;
+	}
+
+	/**
+	 * Returns the number of generations started since the start of the experiment.
+	 * @return number of generations
+	 */
+	public long submissions() {
+		return this.submissions;
+	}
+
 	/**
 	 * Returns how often the engine has crashed.
 	 * @return number of crashes
@@ -112,6 +138,9 @@
 	 * @return number of sequences
 	 */
 	public int load() {
+		if (!this.alive) {
+			return 0;
+		}
 		LoadReport now = this.model.report(0);
 		return now.running() + now.waiting();
 	}
@@ -137,6 +166,7 @@
 			return Optional.empty();
 		}
 		this.lastGeneration++;
+		this.submissions++;
 		String generation = this.listing.instanceId() + "-" + this.incarnation + "-" + this.lastGeneration;
 		this.model.submit(new EngineJob(generation, job.promptTokens(), job.prefixHash(), job.prefixTokens(),
 				job.outputTokens(), job.priority()));
@@ -147,6 +177,9 @@
 	}
 
 	void cancel(String generation) {
+		if (this.ignoresCancel) {
+			return;
+		}
 		this.receivers.remove(generation);
 		this.model.cancel(generation);
 	}
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/EntryActor.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/EntryActor.java
@@ -38,6 +38,8 @@
 
 	private final Map<String, EngineActor> engines;
 
+	private final Map<String, PlainActor> plains;
+
 	private final StoreActor store;
 
 	private final Recorder recorder;
@@ -56,11 +58,12 @@
 
 	private long lastRequestId;
 
-	EntryActor(VirtualTime time, DecisionCore core, Map<String, EngineActor> engines, StoreActor store,
-			Recorder recorder, long phaseMicros) {
+	EntryActor(VirtualTime time, DecisionCore core, Map<String, EngineActor> engines, Map<String, PlainActor> plains,
+			StoreActor store, Recorder recorder, long phaseMicros) {
 		this.time = time;
 		this.core = core;
 		this.engines = engines;
+		this.plains = plains;
 		this.store = store;
 		this.recorder = recorder;
 		time.every(phaseMicros % TICK_MICROS, TICK_MICROS, this::step);
@@ -107,7 +110,12 @@
 		return this.alive;
 	}
 
-	void submit(SimulatedRequest request, Recorder.Finished finished) {
+	/**
+	 * Takes a caller's request.
+	 * @param request the request
+	 * @param finished told the final answer; never called if the instance is killed first
+	 */
+	public void submit(SimulatedRequest request, Recorder.Finished finished) {
 		this.lastRequestId++;
 		OpenRequest open = new OpenRequest(this.lastRequestId, request, this.time.nowMicros(), finished);
 		this.requests.put(this.lastRequestId, open);
@@ -176,6 +184,10 @@
 
 	private void poll(InstanceRecord server) {
 		EngineActor engine = this.engines.get(server.instanceId());
+		if (engine == null) {
+			this.plains.get(server.instanceId()).report().ifPresent((report) -> post(new Event.LoadReported(report)));
+			return;
+		}
 		engine.laggingReport().ifPresent((report) -> {
 			post(new Event.LoadReported(report));
 			long known = this.cacheSequences.getOrDefault(server.instanceId(), 0L);
@@ -190,7 +202,7 @@
 	/**
 	 * A request without a final answer.
 	 */
-	private final class OpenRequest implements EngineActor.TokenReceiver {
+	private final class OpenRequest {
 
 		private final SimulatedRequest request;
 
@@ -220,6 +232,11 @@
 
 		private void dispatch(Action.Dispatch action) {
 			this.attemptId = action.attemptId();
+			PlainActor plain = EntryActor.this.plains.get(action.serverId());
+			if (plain != null) {
+				EntryActor.this.time.after(LATENCY_MICROS, () -> call(plain, action.attemptId()));
+				return;
+			}
 			this.engine = EntryActor.this.engines.get(action.serverId());
 			long current = this.attemptId;
 			if (!this.sequence.begin(current, action.resumeOffset()) || action.resumeOffset() > 0) {
@@ -229,13 +246,22 @@
 			EntryActor.this.time.after(LATENCY_MICROS, () -> send(current, action.enginePriority()));
 		}
 
+		private void call(PlainActor plain, long current) {
+			if (!EntryActor.this.alive) {
+				return;
+			}
+			plain.call(this.request.mark(),
+					(answer) -> post(new Event.AttemptEnded(current, new AttemptResult.Answered(answer))),
+					(verdict) -> post(new Event.AttemptEnded(current, new AttemptResult.Failed(verdict, false))));
+		}
+
 		private void send(long current, int priority) {
 			if (current != this.attemptId || this.engine == null) {
 				return;
 			}
 			EngineJob job = new EngineJob("", this.request.spec().promptTokens(), this.request.spec().prefixHash(),
 					this.request.spec().prefixTokens(), this.request.outputTokens(), priority);
-			Optional<String> started = this.engine.submit(job, this);
+			Optional<String> started = this.engine.submit(job, new AttemptReceiver(this, current));
 			if (started.isEmpty()) {
 				fail(Verdict.NOT_RUN);
 				return;
@@ -243,22 +269,6 @@
 			this.generation = started.get();
 		}
 
-		@Override
-		public void token(String from, int offset, boolean last) {
-			long current = this.attemptId;
-			EntryActor.this.time.after(LATENCY_MICROS, () -> received(current, from, offset, last));
-		}
-
-		@Override
-		public void cut() {
-			long current = this.attemptId;
-			EntryActor.this.time.after(LATENCY_MICROS, () -> {
-				if (current == this.attemptId && this.engine != null) {
-					fail(Verdict.MAY_HAVE_RUN);
-				}
-			});
-		}
-
 		private void received(long fromAttempt, String from, int offset, boolean last) {
 			if (!EntryActor.this.alive
 					|| this.sequence.admit(fromAttempt, from, offset) != AnswerSequence.Admission.DELIVER) {
@@ -272,6 +282,7 @@
 				EntryActor.this.recorder.betweenTokens(this.request, now - this.lastTokenMicros);
 			}
 			this.lastTokenMicros = now;
+			EntryActor.this.recorder.delivered(this.request, from, offset);
 			if (offset == 0 || now - this.lastProgressMicros >= PROGRESS_MICROS) {
 				this.lastProgressMicros = now;
 				post(new Event.TokensReceived(fromAttempt, this.sequence.delivered()));
@@ -283,6 +294,12 @@
 			}
 		}
 
+		private void cut(long fromAttempt) {
+			if (fromAttempt == this.attemptId && this.engine != null) {
+				fail(Verdict.MAY_HAVE_RUN);
+			}
+		}
+
 		private void fail(Verdict verdict) {
 			this.engine = null;
 			EntryActor.this.attempts.remove(this.attemptId);
@@ -300,4 +317,31 @@
 
 	}
 
+	/**
+	 * Receives the tokens of one attempt, late ones included.
+	 */
+	private final class AttemptReceiver implements EngineActor.TokenReceiver {
+
+		private final OpenRequest request;
+
+		private final long attemptId;
+
+		private AttemptReceiver(OpenRequest request, long attemptId) {
+			this.request = request;
+			this.attemptId = attemptId;
+		}
+
+		@Override
+		public void token(String generation, int offset, boolean last) {
+			EntryActor.this.time.after(LATENCY_MICROS,
+					() -> this.request.received(this.attemptId, generation, offset, last));
+		}
+
+		@Override
+		public void cut() {
+			EntryActor.this.time.after(LATENCY_MICROS, () -> this.request.cut(this.attemptId));
+		}
+
+	}
+
 }
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Recorder.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Recorder.java
@@ -33,6 +33,9 @@
 
 	private final long[] completedTokensBySecond;
 
+	private TokenHistory history = (request, generation, offset) -> {
+	};
+
 	private long stateChanges;
 
 	Recorder(VirtualTime time, long fromMillis, long toMillis) {
@@ -74,7 +77,9 @@
 		WorkspaceRecord workspace = workspace(request);
 		if (outcome instanceof Outcome.Completed) {
 			record.completed++;
-			record.firstToken.recordValue(firstTokenMicros);
+			if (firstTokenMicros >= 0) {
+				record.firstToken.recordValue(firstTokenMicros);
+			}
 			workspace.completedTokens += tokens;
 			boolean inTime = firstTokenMicros <= request.spec().deadlineMillis() * VirtualTime.MILLI;
 			record.goodTokens += inTime ? tokens : 0;
@@ -87,6 +92,18 @@
 		}
 	}
 
+	/**
+	 * Sets who is told of every token delivered to a caller.
+	 * @param newHistory receives the tokens
+	 */
+	public void history(TokenHistory newHistory) {
+		this.history = newHistory;
+	}
+
+	void delivered(SimulatedRequest request, String generation, int offset) {
+		this.history.delivered(request, generation, offset);
+	}
+
 	void cut(SimulatedRequest request) {
 		this.classes.get(request.workClass()).cut++;
 	}
@@ -133,11 +150,27 @@
 		return this.workspaces.computeIfAbsent(request.spec().workspace(), (name) -> new WorkspaceRecord());
 	}
 
+	/**
+	 * Told of every token delivered to a caller.
+	 */
+	@FunctionalInterface
+	public interface TokenHistory {
+
+		/**
+		 * A token was delivered.
+		 * @param request the caller's request
+		 * @param generation generation of the token
+		 * @param offset offset of the token
+		 */
+		void delivered(SimulatedRequest request, String generation, int offset);
+
+	}
+
 	/**
 	 * Told when a request has its final answer.
 	 */
 	@FunctionalInterface
-	interface Finished {
+	public interface Finished {
 
 		/**
 		 * The request has its final answer.
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/SimulatedRequest.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/SimulatedRequest.java
@@ -10,11 +10,12 @@
  * @param workClass class of the workspace
  * @param outputTokens tokens the generation will have, unknown to the core
  * @param tries earlier tries of the same request
+ * @param mark mark of a plain call in the ledger of its service
  */
-public record SimulatedRequest(RequestSpec spec, WorkClass workClass, int outputTokens, int tries) {
+public record SimulatedRequest(RequestSpec spec, WorkClass workClass, int outputTokens, int tries, String mark) {
 
 	SimulatedRequest again() {
-		return new SimulatedRequest(this.spec, this.workClass, this.outputTokens, this.tries + 1);
+		return new SimulatedRequest(this.spec, this.workClass, this.outputTokens, this.tries + 1, this.mark);
 	}
 
 }
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Workload.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Workload.java
@@ -110,7 +110,7 @@
 			.maximumOutputTokens(MAXIMUM_OUTPUT_TOKENS)
 			.deadlineMillis(deadline)
 			.build();
-		return new SimulatedRequest(spec, load.workClass(), this.world.deployment().lengths().draw(this.random), 0);
+		return new SimulatedRequest(spec, load.workClass(), this.world.deployment().lengths().draw(this.random), 0, "");
 	}
 
 	private int drawWorkspace() {
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/World.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/World.java
@@ -36,6 +36,8 @@
 
 	private final Map<String, EngineActor> engines = new LinkedHashMap<>();
 
+	private final Map<String, PlainActor> plains = new LinkedHashMap<>();
+
 	private final List<EntryActor> entries = new ArrayList<>();
 
 	private final List<InstanceRecord> entryRows = new ArrayList<>();
@@ -64,12 +66,14 @@
 			this.engines.put(name, new EngineActor(this.time, name, deployment.service(), deployment.dataCentre(index),
 					deployment.profile(), seed + index));
 		}
+		PlainActor plain = new PlainActor(this.time, "plain-0", Deployment.PLAIN_SERVICE, deployment.dataCentre(0),
+				seed);
+		this.plains.put("plain-0", plain);
 		for (int index = 0; index < deployment.entries(); index++) {
 			addEntry("entry-" + index, deployment.dataCentre(index));
 		}
 		publishList();
-		List<RampRecord> warm = this.engines.keySet()
-			.stream()
+		List<RampRecord> warm = Stream.concat(this.engines.keySet().stream(), this.plains.keySet().stream())
 			.map((name) -> new RampRecord(name, 1, 0, WARM_MILLIS))
 			.toList();
 		this.entries.forEach((entry) -> entry.post(new Event.RampsOffered(warm)));
@@ -116,6 +120,14 @@
 		return List.copyOf(this.engines.values());
 	}
 
+	/**
+	 * Returns the plain service.
+	 * @return the service
+	 */
+	public PlainActor plain() {
+		return this.plains.get("plain-0");
+	}
+
 	/**
 	 * Returns the entry instances, killed ones included.
 	 * @return the instances in the order of their start
@@ -168,6 +180,15 @@
 
 	/** Tells all instances who is live. */
 	public void publishList() {
+		List<InstanceRecord> rows = rows();
+		this.entries.forEach((entry) -> entry.post(new Event.InstancesListed(rows)));
+	}
+
+	/**
+	 * Returns the list of instances as the platform would give it.
+	 * @return rows of all live instances
+	 */
+	public List<InstanceRecord> rows() {
 		List<InstanceRecord> rows = new ArrayList<>();
 		for (int index = 0; index < this.entries.size(); index++) {
 			if (this.entries.get(index).alive()) {
@@ -175,7 +196,8 @@
 			}
 		}
 		this.engines.values().forEach((engine) -> rows.add(engine.listing()));
-		this.entries.forEach((entry) -> entry.post(new Event.InstancesListed(rows)));
+		this.plains.values().forEach((plain) -> rows.add(plain.listing()));
+		return rows;
 	}
 
 	SplittableRandom random() {
@@ -187,7 +209,7 @@
 			.policy(this.policy)
 			.seed(this.seed + name.hashCode())
 			.build();
-		EntryActor entry = new EntryActor(this.time, core, this.engines, this.store, this.recorder,
+		EntryActor entry = new EntryActor(this.time, core, this.engines, this.plains, this.store, this.recorder,
 				1 + Math.abs(name.hashCode() * 7_919L) % 500_000);
 		this.entries.add(entry);
 		this.entryRows.add(new InstanceRecord(name, InstanceRole.ENTRY, "", dataCentre, name, InstanceState.LIVE));
--- /dev/null
+++ b/bench/src/test/java/org/skylarkspring/bench/experiment/WarmupTests.java
@@ -0,0 +1,118 @@
+package org.skylarkspring.bench.experiment;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.skylarkspring.bench.model.EngineProfile;
+import org.skylarkspring.core.event.Event;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.core.model.InstanceRole;
+import org.skylarkspring.core.model.ServerStatus;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * A starting server receives no more than it bears, summed over all entry instances.
+ */
+class WarmupTests {
+
+	private static final long CRASH_MILLIS = 10_000;
+
+	private static final long END_MILLIS = 70_000;
+
+	private static Deployment deployment(int coldBatch) {
+		EngineProfile profile = new EngineProfile(18, 0.9, 0.02, 64, 2_048, 2_600, 16, coldBatch, 30_000, 0.05);
+		Deployment base = Deployment.cuadernoAustral();
+		return new Deployment(base.name(), base.service(), base.dataCentres(), base.engines(), base.entries(), profile,
+				base.lengths(), base.workspaces());
+	}
+
+	private static int totalLimit(World world, String serverId) {
+		return world.entries()
+			.stream()
+			.flatMap((entry) -> entry.core().status().servers().stream())
+			.filter((server) -> server.serverId().equals(serverId))
+			.mapToInt(ServerStatus::totalLimit)
+			.max()
+			.orElse(0);
+	}
+
+	// Every instance sees another part of the list of entry instances.
+	private static void differLists(World world, SplittableRandom random) {
+		List<InstanceRecord> all = world.rows();
+		world.entries().forEach((entry) -> {
+			List<InstanceRecord> seen = all.stream()
+				.filter((row) -> row.role() == InstanceRole.BACKEND || random.nextInt(3) > 0)
+				.toList();
+			entry.post(new Event.InstancesListed(seen));
+		});
+	}
+
+	@Property(seed = "5", tries = 12)
+	void holdsTheLimitForTheSumOverAllInstances(@ForAll @IntRange(max = 10_000) int seed,
+			@ForAll @IntRange(min = 1, max = 12) int coldBatch, @ForAll StoreActor.Mode storeMode) {
+		World world = new World(deployment(coldBatch), Variants.standard(), seed, 0, END_MILLIS);
+		SplittableRandom random = new SplittableRandom(seed);
+		EngineActor engine = world.engines().get(0);
+		new Workload(world, 16, Workload.RetryBehaviour.never()).start();
+		differLists(world, random);
+		world.time().runUntil(CRASH_MILLIS);
+		engine.crash();
+		world.time().after(15_000 * VirtualTime.MILLI, () -> world.store().mode(storeMode));
+		world.time().after(30_000 * VirtualTime.MILLI, () -> world.store().mode(StoreActor.Mode.SOUND));
+		for (long millis = CRASH_MILLIS + 2_000; millis < END_MILLIS; millis += 100) {
+			world.time().runUntil(millis);
+			assertThat("at " + millis, engine.load(), lessThanOrEqualTo(totalLimit(world, "engine-0")));
+		}
+		assertThat(engine.failures(), is(1L));
+		assertThat(engine.submissions(), greaterThan(0L));
+	}
+
+	@Nested
+	class WithoutRamp {
+
+		/**
+		 * The naive version: least outstanding without a limit overruns the cold server.
+		 */
+		@Test
+		void exceedsWhatTheServerBears() {
+			int coldBatch = 6;
+			World world = new World(deployment(coldBatch), Variants.standard(), 1, 0, END_MILLIS);
+			new Workload(world, 16, Workload.RetryBehaviour.never()).start();
+			world.time().runUntil(CRASH_MILLIS);
+			EngineActor engine = world.engines().get(0);
+			engine.turnCold();
+			assertThat(engine.load(), greaterThan(coldBatch));
+		}
+
+	}
+
+	@Nested
+	class ColdWithoutWarning {
+
+		@Test
+		void isFoundAndTheServerDoesNotFail() {
+			World world = new World(deployment(6), Variants.standard(), 1, 0, END_MILLIS);
+			new Workload(world, 16, Workload.RetryBehaviour.never()).start();
+			world.time().runUntil(CRASH_MILLIS);
+			EngineActor engine = world.engines().get(0);
+			engine.turnCold();
+			world.time().runUntil(CRASH_MILLIS + 4_000);
+			long submissions = engine.submissions();
+			world.time().runUntil(CRASH_MILLIS + 6_000);
+			assertThat(engine.submissions() - submissions, lessThanOrEqualTo(6L));
+			assertThat(engine.failures(), is(0L));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/skylarkspring/bench/experiment/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Histories of concurrent runs on the virtual clock, under failure.
+ */
+package org.skylarkspring.bench.experiment;
--- a/core/src/main/java/org/skylarkspring/core/model/ServerStatus.java
+++ b/core/src/main/java/org/skylarkspring/core/model/ServerStatus.java
@@ -9,10 +9,11 @@
  * @param eligible whether it may receive new work
  * @param phase {@code cold}, {@code warming} or {@code warm}
  * @param limit requests this instance may have running there
+ * @param totalLimit requests all instances together may have running there
  * @param ownRunning requests this instance has running there
  * @param reportedRunning sequences running by the last report, -1 without one
  * @param reportedUsedBlocks memory blocks in use by the last report, -1 without one
  */
 public record ServerStatus(String serverId, String pool, String dataCentre, boolean eligible, String phase, int limit,
-		int ownRunning, int reportedRunning, int reportedUsedBlocks) {
+		int totalLimit, int ownRunning, int reportedRunning, int reportedUsedBlocks) {
 }
