--- a/core/src/main/java/org/skylarkspring/core/internal/AttemptSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/AttemptSystem.java
@@ -32,8 +32,6 @@
 
 	private final PlacementSystem placement;
 
-	private final RampSystem ramps;
-
 	private final ClaimSystem claims;
 
 	private final FinishSystem finish;
@@ -42,12 +40,11 @@
 
 	private final Period period = new Period(100);
 
-	AttemptSystem(CoreContext context, QueueSystem queue, PlacementSystem placement, RampSystem ramps,
-			ClaimSystem claims, FinishSystem finish) {
+	AttemptSystem(CoreContext context, QueueSystem queue, PlacementSystem placement, ClaimSystem claims,
+			FinishSystem finish) {
 		this.context = context;
 		this.queue = queue;
 		this.placement = placement;
-		this.ramps = ramps;
 		this.claims = claims;
 		this.finish = finish;
 	}
@@ -208,13 +205,13 @@
 		}
 	}
 
-	// A failing server gets a pause that doubles, and starts its warm-up again.
+	// A failing server gets a pause that doubles, and none before a younger report.
 	private void suspend(ServerEntry server) {
 		int doublings = Math.min(MAXIMUM_SUSPENSION_DOUBLINGS, server.consecutiveFailures - 1);
 		double jitter = 0.5 + this.context.random.nextDouble();
 		long pauseMillis = (long) (SUSPENSION_MILLIS * (1L << doublings) * jitter);
 		server.suspendedUntilMillis = this.context.nowMillis + pauseMillis;
-		this.ramps.reset(server, "failed attempt");
+		server.suspectSinceMillis = this.context.nowMillis;
 	}
 
 	private RetryBudget budget(RequestEntry request) {
--- a/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
@@ -61,7 +61,7 @@
 		this.queue = new QueueSystem(this.context, finish);
 		this.intake = new IntakeSystem(this.context, this.queue, claims, finish);
 		this.placement = new PlacementSystem(this.context, this.queue, this.loads, this.ramps);
-		this.attempts = new AttemptSystem(this.context, this.queue, this.placement, this.ramps, claims, finish);
+		this.attempts = new AttemptSystem(this.context, this.queue, this.placement, claims, finish);
 	}
 
 	/**
--- a/core/src/main/java/org/skylarkspring/core/internal/LoadSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/LoadSystem.java
@@ -35,6 +35,12 @@
 	/** Likelihood lost by all cached prefixes when a cache change was missed. */
 	private static final double GAP_DISCOUNT = 0.7;
 
+	/**
+	 * Least lag of a report. The offset between the clocks is learned from reports and
+	 * includes it.
+	 */
+	private static final long REPORT_LAG_ALLOWANCE_MILLIS = 300;
+
 	private static final double CACHED_LIKELIHOOD = 0.9;
 
 	private final CoreContext context;
@@ -135,7 +141,10 @@
 	}
 
 	private void cover(ServerEntry server, LoadReport report) {
-		long takenAtMillis = report.reportedAtMillis() + server.clockOffsetMillis;
+		long takenAtMillis = report.reportedAtMillis() + server.clockOffsetMillis - REPORT_LAG_ALLOWANCE_MILLIS;
+		if (takenAtMillis >= server.suspectSinceMillis) {
+			server.suspectSinceMillis = Long.MIN_VALUE;
+		}
 		server.attempts.stream()
 			.filter((attempt) -> !attempt.reported && attempt.placedAtMillis < takenAtMillis)
 			.forEach((attempt) -> attempt.reported = true);
--- a/core/src/main/java/org/skylarkspring/core/internal/RampSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/RampSystem.java
@@ -12,8 +12,8 @@
 
 /**
  * Warms up backend servers. A server starts with a small limit that grows with the time
- * in which it was seen healthy under load. A new incarnation, a broken connection or
- * decode steps far slower than before put it back to the start.
+ * in which it was seen healthy under load. A new incarnation or decode steps far slower
+ * than before put it back to the start.
  */
 final class RampSystem {
 
@@ -79,12 +79,7 @@
 			.ifPresent((server) -> adopt(server, offered));
 	}
 
-	/**
-	 * Puts a server back to the start because it may have restarted.
-	 * @param server the server
-	 * @param reason reason for the log
-	 */
-	void reset(ServerEntry server, String reason) {
+	private void reset(ServerEntry server, String reason) {
 		if (server.ramp != null && this.context.nowMillis - server.resetAtMillis >= RESET_GRACE_MILLIS) {
 			RampRecord last = server.ramp;
 			start(server, new RampRecord(last.serverId(), last.incarnation(), last.coldEpoch() + 1, 0), reason);
--- a/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
@@ -51,6 +51,11 @@
 
 	long suspendedUntilMillis;
 
+	/**
+	 * When an attempt failed; until a report is younger, the server may have restarted.
+	 */
+	long suspectSinceMillis = Long.MIN_VALUE;
+
 	long lastPlacement;
 
 	/** Own attempts, in the order of their placement. */
@@ -92,7 +97,7 @@
 
 	boolean mayReceive(long nowMillis) {
 		return this.listed && !this.drained && !leaving() && nowMillis >= this.suspendedUntilMillis
-				&& this.phase != ServerPhase.COLD;
+				&& this.phase != ServerPhase.COLD && this.suspectSinceMillis == Long.MIN_VALUE;
 	}
 
 	/**
--- /dev/null
+++ b/core/src/test/java/org/skylarkspring/core/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the core's systems.
+ */
+package org.skylarkspring.core.internal;
