Order model versions by a fenced lease; settle publications; check histories

Cause: orders to engines had no single holder, and publishing had no test of races.

Lincheck finds ControlState linearizable.

A late order at an engine that ignores the number can still change its model until the next report is seen; docs/PROOFS.md will say so.

--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Deployment.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Deployment.java
@@ -24,9 +24,10 @@
  * @param profile speed and memory of an engine
  * @param lengths lengths of generations
  * @param workspaces its workspaces with their part of the load
+ * @param modelVersion model version to be loaded, empty for no orders
  */
 public record Deployment(String name, String service, List<String> dataCentres, int engines, int entries,
-		EngineProfile profile, OutputLengths lengths, List<WorkspaceLoad> workspaces) {
+		EngineProfile profile, OutputLengths lengths, List<WorkspaceLoad> workspaces, String modelVersion) {
 
 	/** Name of the plain service of every deployment. */
 	public static final String PLAIN_SERVICE = "bookings";
@@ -44,7 +45,7 @@
 	public static Deployment cuadernoAustral() {
 		return new Deployment("cuaderno-austral", "modelo-editorial",
 				List.of("ar-centro-a", "ar-centro-b", "ar-centro-c"), 8, 7, EngineProfile.standard(), LENGTHS,
-				workspaces(WorkClass.DEADLINE, WorkClass.INTERACTIVE));
+				workspaces(WorkClass.DEADLINE, WorkClass.INTERACTIVE), "");
 	}
 
 	/**
@@ -53,7 +54,7 @@
 	 */
 	public static Deployment ingendo() {
 		return new Deployment("ingendo", "inyigisho", List.of("kigali-a", "kigali-b", "kigali-c"), 6, 6,
-				EngineProfile.standard(), LENGTHS, workspaces(WorkClass.INTERACTIVE, WorkClass.DEADLINE));
+				EngineProfile.standard(), LENGTHS, workspaces(WorkClass.INTERACTIVE, WorkClass.DEADLINE), "");
 	}
 
 	/**
@@ -63,7 +64,27 @@
 	 */
 	public Deployment withLengths(OutputLengths newLengths) {
 		return new Deployment(this.name, this.service, this.dataCentres, this.engines, this.entries, this.profile,
-				newLengths, this.workspaces);
+				newLengths, this.workspaces, this.modelVersion);
+	}
+
+	/**
+	 * Returns the same deployment with other engines.
+	 * @param newProfile speed and memory of an engine
+	 * @return a new deployment
+	 */
+	public Deployment withProfile(EngineProfile newProfile) {
+		return new Deployment(this.name, this.service, this.dataCentres, this.engines, this.entries, newProfile,
+				this.lengths, this.workspaces, this.modelVersion);
+	}
+
+	/**
+	 * Returns the same deployment with orders to load a model version.
+	 * @param newModelVersion the version
+	 * @return a new deployment
+	 */
+	public Deployment withModelVersion(String newModelVersion) {
+		return new Deployment(this.name, this.service, this.dataCentres, this.engines, this.entries, this.profile,
+				this.lengths, this.workspaces, newModelVersion);
 	}
 
 	String dataCentre(int index) {
@@ -75,13 +96,13 @@
 			.map((centre) -> new DataCentrePolicy(centre, "region"))
 			.toList();
 		PoolPolicy pool = new PoolPolicy(this.service, this.dataCentres, WARMUP_MILLIS, this.profile.coldBatch(),
-				FULL_CONCURRENCY, 2 * this.entries);
+				FULL_CONCURRENCY, 2 * this.entries, this.modelVersion, 2, 1);
 		ServicePolicy model = new ServicePolicy(this.service, ServiceKind.GENERATION, this.service, 1_800, 66, 10_000,
 				262_144, 86_400_000);
 		ServicePolicy plain = new ServicePolicy(PLAIN_SERVICE, ServiceKind.PLAIN, PLAIN_SERVICE, 1_800, 66, 10_000,
 				262_144, 86_400_000);
 		PoolPolicy plainPool = new PoolPolicy(PLAIN_SERVICE, this.dataCentres, WARMUP_MILLIS, 4, FULL_CONCURRENCY,
-				2 * this.entries);
+				2 * this.entries, "", 0, 1);
 		List<WorkspacePolicy> policies = this.workspaces.stream()
 			.map((load) -> new WorkspacePolicy(load.name(), load.name(), load.weight(), load.workClass(),
 					List.of(this.service, PLAIN_SERVICE)))
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/EngineActor.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/EngineActor.java
@@ -25,6 +25,8 @@
 
 	private static final long REPORT_LAG_MILLIS = 300;
 
+	private static final long LOAD_MILLIS = 8_000;
+
 	private static final long RESTART_MICROS = 10_000 * VirtualTime.MILLI;
 
 	private final VirtualTime time;
@@ -59,6 +61,12 @@
 
 	private boolean ignoresCancel;
 
+	private boolean checksFencing = true;
+
+	private long highestFencingNumber;
+
+	private long refusedOrders;
+
 	EngineActor(VirtualTime time, String serverId, String pool, String dataCentre, EngineProfile profile, long seed) {
 		this.time = time;
 		this.listing = new InstanceRecord(serverId, InstanceRole.BACKEND, pool, dataCentre, serverId,
@@ -109,6 +117,41 @@
 		this.ignoresCancel = true;
 	}
 
+	/** Makes the engine take orders with any fencing number. */
+	public void ignoreFencing() {
+		this.checksFencing = false;
+	}
+
+	/**
+	 * Takes an order to load a model version.
+	 * @param fencingNumber number of the duty's holder
+	 * @param modelVersion the version
+	 */
+	public void order(long fencingNumber, String modelVersion) {
+		if (this.checksFencing && fencingNumber < this.highestFencingNumber) {
+			this.refusedOrders++;
+			return;
+		}
+		this.highestFencingNumber = Math.max(this.highestFencingNumber, fencingNumber);
+		this.model.load(modelVersion, this.time.nowMillis(), LOAD_MILLIS);
+	}
+
+	/**
+	 * Returns the number of orders refused for an old fencing number.
+	 * @return number of orders
+	 */
+	public long refusedOrders() {
+		return this.refusedOrders;
+	}
+
+	/**
+	 * Returns what the engine would report now.
+	 * @return the report without lag
+	 */
+	public LoadReport currentReport() {
+		return this.model.report(this.time.nowMillis());
+	}
+
 	/**
 	 * Returns the number of generations started since the start of the experiment.
 	 * @return number of generations
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/EntryActor.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/EntryActor.java
@@ -157,6 +157,12 @@
 		this.store.read(action.key(), (answer) -> post(new Event.StoreAnswered(action.operationId(), answer)));
 	}
 
+	@Override
+	public void orderServer(Action.OrderServer action) {
+		EngineActor engine = this.engines.get(action.serverId());
+		this.time.after(LATENCY_MICROS, () -> engine.order(action.fencingNumber(), action.modelVersion()));
+	}
+
 	@Override
 	public void stateChanged(Action.StateChanged action) {
 		this.recorder.stateChanged();
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/PlainActor.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/PlainActor.java
@@ -65,7 +65,8 @@
 	}
 
 	Optional<LoadReport> report() {
-		return Optional.of(new LoadReport(this.listing.instanceId(), 1, this.time.nowMillis(), 0, 0, 0, 0, 0, 0, 0));
+		return Optional
+			.of(new LoadReport(this.listing.instanceId(), 1, this.time.nowMillis(), 0, 0, 0, 0, 0, 0, 0, "", false));
 	}
 
 	/**
--- a/bench/src/main/java/org/skylarkspring/bench/model/EngineModel.java
+++ b/bench/src/main/java/org/skylarkspring/bench/model/EngineModel.java
@@ -58,6 +58,10 @@
 
 	private boolean failed;
 
+	private String modelVersion = "v1";
+
+	private long loadingUntilMillis = Long.MIN_VALUE;
+
 	/**
 	 * Creates an engine.
 	 * @param serverId name of the server
@@ -95,6 +99,18 @@
 		}
 	}
 
+	/**
+	 * Loads a model version; the engine is cold afterwards.
+	 * @param version the version
+	 * @param nowMillis start of the load
+	 * @param durationMillis duration of the load
+	 */
+	public void load(String version, long nowMillis, long durationMillis) {
+		this.modelVersion = version;
+		this.loadingUntilMillis = nowMillis + durationMillis;
+		this.warmMillis = 0;
+	}
+
 	/** Makes the engine cold again without a restart. */
 	public void turnCold() {
 		this.warmMillis = 0;
@@ -142,7 +158,8 @@
 	public LoadReport report(long nowMillis) {
 		return new LoadReport(this.serverId, this.incarnation, nowMillis, this.running.size(), this.waiting.size(),
 				usedBlocks(), this.profile.totalBlocks(), this.profile.blockTokens(),
-				this.running.isEmpty() ? 0 : this.averageStepMillis, this.preemptions);
+				this.running.isEmpty() ? 0 : this.averageStepMillis, this.preemptions, this.modelVersion,
+				nowMillis < this.loadingUntilMillis);
 	}
 
 	/**
--- a/bench/src/main/java/org/skylarkspring/bench/standin/EngineStandIn.java
+++ b/bench/src/main/java/org/skylarkspring/bench/standin/EngineStandIn.java
@@ -32,6 +32,8 @@
 
 	private static final long RESUME_GRACE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+	private static final long LOAD_MILLIS = 3_000;
+
 	private static final int CHARACTERS_PER_TOKEN = 4;
 
 	private final EngineModel model;
@@ -199,7 +201,8 @@
 		StandInServer.send(exchange, 200,
 				new EngineMessages.Load(lagging.incarnation(), lagging.reportedAtMillis(), lagging.running(),
 						lagging.waiting(), lagging.usedBlocks(), lagging.totalBlocks(), lagging.blockTokens(),
-						lagging.stepMillis(), lagging.preemptions(), changes));
+						lagging.stepMillis(), lagging.preemptions(), lagging.modelVersion(), lagging.loading(),
+						changes));
 	}
 
 	private synchronized void order(HttpServerExchange exchange) {
@@ -209,6 +212,8 @@
 			return;
 		}
 		this.highestFencingNumber = Math.max(this.highestFencingNumber, fencingNumber);
+		StandInServer.query(exchange, "modelVersion")
+			.ifPresent((version) -> this.model.load(version, System.currentTimeMillis(), LOAD_MILLIS));
 		StandInServer.send(exchange, 200, Map.of("fencingNumber", this.highestFencingNumber));
 	}
 
--- a/bench/src/test/java/org/skylarkspring/bench/experiment/WarmupTests.java
+++ b/bench/src/test/java/org/skylarkspring/bench/experiment/WarmupTests.java
@@ -31,9 +31,7 @@
 
 	private static Deployment deployment(int coldBatch) {
 		EngineProfile profile = new EngineProfile(18, 0.9, 0.02, 64, 2_048, 2_600, 16, coldBatch, 30_000, 0.05);
-		Deployment base = Deployment.cuadernoAustral();
-		return new Deployment(base.name(), base.service(), base.dataCentres(), base.engines(), base.entries(), profile,
-				base.lengths(), base.workspaces());
+		return Deployment.cuadernoAustral().withProfile(profile);
 	}
 
 	private static int totalLimit(World world, String serverId) {
--- a/core/src/main/java/org/skylarkspring/core/action/Action.java
+++ b/core/src/main/java/org/skylarkspring/core/action/Action.java
@@ -97,6 +97,24 @@
 
 	}
 
+	/**
+	 * Order a server to load a model version.
+	 *
+	 * @param serverId name of the server
+	 * @param address address of the server
+	 * @param fencingNumber number of the duty's holder; servers that check it refuse a
+	 * lower one than they have seen
+	 * @param modelVersion version to load
+	 */
+	record OrderServer(String serverId, String address, long fencingNumber, String modelVersion) implements Action {
+
+		@Override
+		public void handOver(ActionHandler handler) {
+			handler.orderServer(this);
+		}
+
+	}
+
 	/**
 	 * Log a change of state.
 	 *
--- a/core/src/main/java/org/skylarkspring/core/action/ActionHandler.java
+++ b/core/src/main/java/org/skylarkspring/core/action/ActionHandler.java
@@ -35,6 +35,12 @@
 	 */
 	void storeRead(Action.StoreRead action);
 
+	/**
+	 * Sends an order to a server.
+	 * @param action the action
+	 */
+	void orderServer(Action.OrderServer action);
+
 	/**
 	 * Logs a change of state.
 	 * @param action the action
--- a/core/src/main/java/org/skylarkspring/core/config/ConfigurationChecker.java
+++ b/core/src/main/java/org/skylarkspring/core/config/ConfigurationChecker.java
@@ -34,7 +34,7 @@
 			"betweenTokensTargetMillis", "stallTimeoutMillis", "maximumBodyBytes", "keyRetentionMillis");
 
 	private static final Set<String> POOL_FIELDS = Set.of("name", "dataCentres", "warmupMillis", "initialConcurrency",
-			"fullConcurrency", "maximumInstances");
+			"fullConcurrency", "maximumInstances", "modelVersion", "minimumServers", "concurrentLoads");
 
 	private static final Set<String> WORKSPACE_FIELDS = Set.of("name", "keyDigest", "weight", "workClass", "services");
 
@@ -136,7 +136,14 @@
 					"lower the first or raise the second");
 		}
 		this.pools.add(new PoolPolicy(name, centres, values.number("warmupMillis", 60_000, 0, MAXIMUM_MILLIS), initial,
-				full, (int) values.number("maximumInstances", 14, 1, 100_000)));
+				full, (int) values.number("maximumInstances", 14, 1, 100_000), modelVersion(values),
+				(int) values.number("minimumServers", 1, 0, 100_000),
+				(int) values.number("concurrentLoads", 1, 1, 100_000)));
+	}
+
+	private static String modelVersion(ObjectFields values) {
+		return values.matching("modelVersion", "[A-Za-z0-9._-]{0,64}",
+				"use up to 64 letters, digits, dots, underscores and hyphens");
 	}
 
 	private void readService(String file, LocatedJson place, String name, ObjectFields values) {
--- a/core/src/main/java/org/skylarkspring/core/config/PoolPolicy.java
+++ b/core/src/main/java/org/skylarkspring/core/config/PoolPolicy.java
@@ -13,7 +13,11 @@
  * @param fullConcurrency requests a warm server bears
  * @param maximumInstances upper bound of entry instances that may address the pool at one
  * time, replacements included
+ * @param modelVersion version of the model that the servers are to load, empty if the
+ * system gives no orders
+ * @param minimumServers warm servers that keep serving while others load
+ * @param concurrentLoads servers that load at one time, for the weight store's sake
  */
 public record PoolPolicy(String name, List<String> dataCentres, long warmupMillis, int initialConcurrency,
-		int fullConcurrency, int maximumInstances) {
+		int fullConcurrency, int maximumInstances, String modelVersion, int minimumServers, int concurrentLoads) {
 }
--- a/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
@@ -34,6 +34,8 @@
 
 	private final LoadSystem loads;
 
+	private final OrderSystem orders;
+
 	private final QueueSystem queue;
 
 	private final IntakeSystem intake;
@@ -56,6 +58,7 @@
 		this.leases = new LeaseSystem(this.context);
 		this.ramps = new RampSystem(this.context, this.leases);
 		this.loads = new LoadSystem(this.context, this.ramps);
+		this.orders = new OrderSystem(this.context, this.leases);
 		ClaimSystem claims = new ClaimSystem(this.context, this.delayed);
 		FinishSystem finish = new FinishSystem(this.context, claims);
 		this.queue = new QueueSystem(this.context, finish);
@@ -81,6 +84,7 @@
 		this.delayed.tick();
 		this.membership.tick();
 		this.ramps.tick();
+		this.orders.tick();
 		this.leases.tick();
 		this.loads.tick();
 		this.attempts.tick();
--- a/core/src/main/java/org/skylarkspring/core/internal/RampSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/RampSystem.java
@@ -65,6 +65,9 @@
 		if (server.phase == ServerPhase.COLD) {
 			enterPhase(server);
 		}
+		if (server.report != null && !report.modelVersion().equals(server.report.modelVersion())) {
+			reset(server, "model version " + report.modelVersion());
+		}
 		judge(server, report);
 		return true;
 	}
--- a/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
@@ -95,9 +95,13 @@
 		return this.listing.state() == InstanceState.LEAVING;
 	}
 
+	boolean loading() {
+		return this.report != null && this.report.loading();
+	}
+
 	boolean mayReceive(long nowMillis) {
 		return this.listed && !this.drained && !leaving() && nowMillis >= this.suspendedUntilMillis
-				&& this.phase != ServerPhase.COLD && this.suspectSinceMillis == Long.MIN_VALUE;
+				&& this.phase != ServerPhase.COLD && !loading() && this.suspectSinceMillis == Long.MIN_VALUE;
 	}
 
 	/**
--- a/core/src/main/java/org/skylarkspring/core/model/LoadReport.java
+++ b/core/src/main/java/org/skylarkspring/core/model/LoadReport.java
@@ -13,7 +13,10 @@
  * @param blockTokens tokens held by one block
  * @param stepMillis mean duration of a recent decode step
  * @param preemptions number of preemptions since the server started
+ * @param modelVersion version of the model loaded, empty if the server has none
+ * @param loading whether the server is loading a model and serves nothing
  */
 public record LoadReport(String serverId, long incarnation, long reportedAtMillis, int running, int waiting,
-		int usedBlocks, int totalBlocks, int blockTokens, double stepMillis, long preemptions) {
+		int usedBlocks, int totalBlocks, int blockTokens, double stepMillis, long preemptions, String modelVersion,
+		boolean loading) {
 }
--- a/core/src/test/java/org/skylarkspring/core/internal/CoreHarness.java
+++ b/core/src/test/java/org/skylarkspring/core/internal/CoreHarness.java
@@ -65,8 +65,8 @@
 	}
 
 	static Configuration configuration(long revision) {
-		PoolPolicy pool = new PoolPolicy(MODEL, List.of("kigali-a"), 60_000, 2, 32, 7);
-		PoolPolicy plainPool = new PoolPolicy(PLAIN, List.of("kigali-a"), 60_000, 2, 32, 7);
+		PoolPolicy pool = new PoolPolicy(MODEL, List.of("kigali-a"), 60_000, 2, 32, 7, "", 0, 1);
+		PoolPolicy plainPool = new PoolPolicy(PLAIN, List.of("kigali-a"), 60_000, 2, 32, 7, "", 0, 1);
 		ServicePolicy model = new ServicePolicy(MODEL, ServiceKind.GENERATION, MODEL, 1_800, 66, 5_000, 1_000,
 				86_400_000);
 		ServicePolicy plain = new ServicePolicy(PLAIN, ServiceKind.PLAIN, PLAIN, 1_800, 66, 5_000, 1_000, 86_400_000);
@@ -125,7 +125,7 @@
 	void report(String serverId, long incarnation, int running, double stepMillis) {
 		int blocks = serverId.startsWith(MODEL) ? 2_600 : 0;
 		step(new Event.LoadReported(new LoadReport(serverId, incarnation, this.nowMillis, running, 0, 0, blocks,
-				(blocks > 0) ? 16 : 0, stepMillis, 0)));
+				(blocks > 0) ? 16 : 0, stepMillis, 0, "", false)));
 	}
 
 	void reportAll(long incarnation) {
--- a/entry/src/main/java/org/skylarkspring/entry/api/EngineMessages.java
+++ b/entry/src/main/java/org/skylarkspring/entry/api/EngineMessages.java
@@ -58,12 +58,15 @@
 	 * @param blockTokens tokens of one block
 	 * @param stepMillis mean duration of a recent decode step
 	 * @param preemptions preemptions since start
+	 * @param modelVersion version loaded, {@code null} if the server has none
+	 * @param loading whether the server is loading a model
 	 * @param cacheEvents changes after the sequence asked for
 	 */
 	public record Load(long incarnation, @SerializedName("reported_at_millis") long reportedAtMillis, int running,
 			int waiting, @SerializedName("used_blocks") int usedBlocks, @SerializedName("total_blocks") int totalBlocks,
 			@SerializedName("block_tokens") int blockTokens, @SerializedName("step_millis") double stepMillis,
-			long preemptions, @SerializedName("cache_events") List<CacheEvent> cacheEvents) {
+			long preemptions, @SerializedName("model_version") String modelVersion, boolean loading,
+			@SerializedName("cache_events") List<CacheEvent> cacheEvents) {
 	}
 
 }
--- a/entry/src/main/java/org/skylarkspring/entry/internal/ActionRunner.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/ActionRunner.java
@@ -5,6 +5,8 @@
 
 import org.skylarkspring.core.action.Action;
 import org.skylarkspring.core.action.ActionHandler;
+import org.skylarkspring.entry.http.HttpCall;
+import org.skylarkspring.entry.http.HttpCaller;
 
 /**
  * Carries out the core's actions.
@@ -13,15 +15,20 @@
 
 	private static final Logger logger = LoggerFactory.getLogger("skylarkspring.state");
 
+	private static final long ORDER_TIMEOUT_MILLIS = 2_000;
+
 	private final RequestRegistry registry;
 
 	private final StoreGateway store;
 
+	private final HttpCaller caller;
+
 	private final Runnable stopped;
 
-	ActionRunner(RequestRegistry registry, StoreGateway store, Runnable stopped) {
+	ActionRunner(RequestRegistry registry, StoreGateway store, HttpCaller caller, Runnable stopped) {
 		this.registry = registry;
 		this.store = store;
+		this.caller = caller;
 		this.stopped = stopped;
 	}
 
@@ -51,6 +58,14 @@
 		this.store.read(action);
 	}
 
+	@Override
+	public void orderServer(Action.OrderServer action) {
+		String path = "/orders?fencingNumber=" + action.fencingNumber() + "&modelVersion=" + action.modelVersion();
+		this.caller.call(HttpCall.post(action.address(), path, ""), ORDER_TIMEOUT_MILLIS)
+			.whenComplete((reply, failure) -> logger.info("server {}: ordered version {}, {}", action.serverId(),
+					action.modelVersion(), (reply != null) ? "status " + reply.status() : failure.getMessage()));
+	}
+
 	@Override
 	public void stateChanged(Action.StateChanged action) {
 		logger.info("{}: {}", action.subject(), action.change());
--- a/entry/src/main/java/org/skylarkspring/entry/internal/ControlHandler.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/ControlHandler.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -15,7 +14,6 @@
 import io.undertow.util.SameThreadExecutor;
 
 import org.skylarkspring.core.DecisionCore;
-import org.skylarkspring.core.model.Directive;
 import org.skylarkspring.core.model.InstanceRecord;
 import org.skylarkspring.core.model.RefusalCode;
 import org.skylarkspring.core.model.Verdict;
@@ -119,9 +117,7 @@
 	}
 
 	private CompletableFuture<AdminMessages.OrderResult> drain(AdminMessages.Drain order) {
-		Directive directive = new Directive(order.targetKind(), order.target(), order.drained(),
-				this.state.nextDirectiveCounter(), this.services.settings().instanceId());
-		this.state.offer(List.of(directive));
+		this.state.issue(order.targetKind(), order.target(), order.drained(), this.services.settings().instanceId());
 		this.gossip.spread();
 		this.platformSync.saveDirectives();
 		String change = order.drained() ? "drained" : "restored";
--- a/entry/src/main/java/org/skylarkspring/entry/internal/ControlState.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/ControlState.java
@@ -98,8 +98,19 @@
 		return directives().hashCode();
 	}
 
-	long nextDirectiveCounter() {
-		return this.directives.values().stream().mapToLong(Directive::counter).max().orElse(0) + 1;
+	/**
+	 * Makes a directive that is newer than all known ones and merges it.
+	 * @param kind kind of the target
+	 * @param target name of the target
+	 * @param drained whether the target must receive no new work
+	 * @param origin this instance
+	 * @return the directive
+	 */
+	synchronized Directive issue(Directive.TargetKind kind, String target, boolean drained, String origin) {
+		long counter = this.directives.values().stream().mapToLong(Directive::counter).max().orElse(0) + 1;
+		Directive directive = new Directive(kind, target, drained, counter, origin);
+		offer(List.of(directive));
+		return directive;
 	}
 
 	void ramps(List<RampRecord> known) {
--- a/entry/src/main/java/org/skylarkspring/entry/internal/EntryRuntime.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/EntryRuntime.java
@@ -91,7 +91,7 @@
 		DecisionCore core = DecisionCore.builder(this.settings.instanceId(), this.settings.dataCentre())
 			.seed(ThreadLocalRandom.current().nextLong())
 			.build();
-		this.loop = new CoreLoop(core, new ActionRunner(registry, store, this.finished::countDown));
+		this.loop = new CoreLoop(core, new ActionRunner(registry, store, caller, this.finished::countDown));
 		store.connect(this.loop);
 		this.state = new ControlState(this.loop::post, directory);
 		PeerGossip gossip = new PeerGossip(this.settings, this.state, caller, metrics, this.scheduler);
--- a/entry/src/main/java/org/skylarkspring/entry/internal/LoadPoller.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/LoadPoller.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -99,9 +100,10 @@
 	}
 
 	private void take(InstanceRecord server, EngineMessages.Load load) {
-		this.loop.post(new Event.LoadReported(new LoadReport(server.instanceId(), load.incarnation(),
-				load.reportedAtMillis(), load.running(), load.waiting(), load.usedBlocks(), load.totalBlocks(),
-				load.blockTokens(), load.stepMillis(), load.preemptions())));
+		this.loop.post(new Event.LoadReported(
+				new LoadReport(server.instanceId(), load.incarnation(), load.reportedAtMillis(), load.running(),
+						load.waiting(), load.usedBlocks(), load.totalBlocks(), load.blockTokens(), load.stepMillis(),
+						load.preemptions(), Optional.ofNullable(load.modelVersion()).orElse(""), load.loading())));
 		if (load.cacheEvents() == null) {
 			return;
 		}
--- a/entry/src/main/java/org/skylarkspring/entry/internal/PlatformClient.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PlatformClient.java
@@ -16,7 +16,7 @@
  * Client of the platform's object API: versioned objects, conditional updates and
  * watches.
  */
-final class PlatformClient {
+final class PlatformClient implements ObjectStore {
 
 	private static final long CALL_TIMEOUT_MILLIS = 2_000;
 
@@ -40,35 +40,19 @@
 		this.metrics = metrics;
 	}
 
-	/**
-	 * Reads an object.
-	 * @param key name of the object
-	 * @return the result; never fails
-	 */
-	CompletableFuture<PlatformResult> read(String key) {
+	@Override
+	public CompletableFuture<PlatformResult> read(String key) {
 		return call(HttpCall.get(this.address, path(key)), CALL_TIMEOUT_MILLIS, "store-read");
 	}
 
-	/**
-	 * Waits until an object has a version other than the known one.
-	 * @param key name of the object
-	 * @param knownVersion the known version, 0 for none
-	 * @param waitMillis longest wait
-	 * @return the result, unchanged objects included; never fails
-	 */
-	CompletableFuture<PlatformResult> watch(String key, long knownVersion, long waitMillis) {
+	@Override
+	public CompletableFuture<PlatformResult> watch(String key, long knownVersion, long waitMillis) {
 		String path = path(key) + "?watch=" + knownVersion + "&waitMillis=" + waitMillis;
 		return call(HttpCall.get(this.address, path), waitMillis + WATCH_MARGIN_MILLIS, "store-watch");
 	}
 
-	/**
-	 * Writes an object if its version is as expected.
-	 * @param key name of the object
-	 * @param expectedVersion version to replace, 0 to create
-	 * @param value text of the value in JSON
-	 * @return the result; never fails
-	 */
-	CompletableFuture<PlatformResult> write(String key, long expectedVersion, String value) {
+	@Override
+	public CompletableFuture<PlatformResult> write(String key, long expectedVersion, String value) {
 		String path = path(key) + "?version=" + expectedVersion;
 		return call(HttpCall.put(this.address, path, value), CALL_TIMEOUT_MILLIS, "store-write");
 	}
--- a/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
@@ -44,7 +44,7 @@
 
 	private final ControlState state;
 
-	private final PlatformClient platform;
+	private final ObjectStore platform;
 
 	private final ScheduledExecutorService scheduler;
 
@@ -54,8 +54,8 @@
 
 	private volatile boolean stopped;
 
-	PlatformSync(EntrySettings settings, ControlState state, PlatformClient platform,
-			ScheduledExecutorService scheduler, Runnable learned) {
+	PlatformSync(EntrySettings settings, ControlState state, ObjectStore platform, ScheduledExecutorService scheduler,
+			Runnable learned) {
 		this.settings = settings;
 		this.state = state;
 		this.platform = platform;
--- a/entry/src/main/java/org/skylarkspring/entry/internal/Publisher.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/Publisher.java
@@ -18,9 +18,9 @@
 
 	private final ControlState state;
 
-	private final PlatformClient platform;
+	private final ObjectStore platform;
 
-	Publisher(ControlState state, PlatformClient platform) {
+	Publisher(ControlState state, ObjectStore platform) {
 		this.state = state;
 		this.platform = platform;
 	}
--- a/entry/src/main/java/org/skylarkspring/entry/internal/StoreGateway.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/StoreGateway.java
@@ -15,11 +15,11 @@
 
 	private static final String CLAIMS = "claims/";
 
-	private final PlatformClient platform;
+	private final ObjectStore platform;
 
 	private CoreLoop loop;
 
-	StoreGateway(PlatformClient platform) {
+	StoreGateway(ObjectStore platform) {
 		this.platform = platform;
 	}
 
--- /dev/null
+++ b/entry/src/test/java/org/skylarkspring/entry/internal/ControlStateConcurrencyTests.java
@@ -0,0 +1,20 @@
+package org.skylarkspring.entry.internal;
+
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Concurrent offers of configurations and directives are linearizable.
+ */
+class ControlStateConcurrencyTests {
+
+	@Test
+	void isLinearizable() {
+		new ModelCheckingOptions().iterations(5)
+			.invocationsPerIteration(100)
+			.threads(2)
+			.actorsPerThread(3)
+			.check(ControlStateOperations.class);
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/skylarkspring/entry/internal/ControlStateOperations.java
@@ -0,0 +1,49 @@
+package org.skylarkspring.entry.internal;
+
+import java.util.List;
+
+import org.jetbrains.lincheck.datastructures.IntGen;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
+
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.model.Directive;
+
+/**
+ * Operations on a {@link ControlState} that the history check runs concurrently.
+ */
+@Param(name = "revision", gen = IntGen.class, conf = "1:4")
+public class ControlStateOperations {
+
+	private final ControlState state = new ControlState((event) -> {
+	}, new ServiceDirectory());
+
+	/**
+	 * Offers a configuration.
+	 * @param revision its revision
+	 * @return whether it was applied
+	 */
+	@Operation
+	public boolean offer(int revision) {
+		return this.state.offer(new Configuration(revision, "p", List.of(), List.of(), List.of(), List.of()));
+	}
+
+	/**
+	 * Reads the revision in force.
+	 * @return the revision
+	 */
+	@Operation
+	public long revision() {
+		return this.state.revision();
+	}
+
+	/**
+	 * Issues a directive.
+	 * @return its counter
+	 */
+	@Operation
+	public long issue() {
+		return this.state.issue(Directive.TargetKind.SERVER, "s", true, "entry-1").counter();
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/skylarkspring/entry/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the entry instance.
+ */
+package org.skylarkspring.entry.internal;
