Assert the phase of a cold server and the settling of a lost claim answer

Cause: two mutations had stayed green, slowness not seen and a lost claim answer taken as not written.

--- a/bench/src/test/java/org/skylarkspring/bench/experiment/WarmupTests.java
+++ b/bench/src/test/java/org/skylarkspring/bench/experiment/WarmupTests.java
@@ -16,6 +16,7 @@
 import org.skylarkspring.core.model.ServerStatus;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -44,6 +45,15 @@
 			.orElse(0);
 	}
 
+	private static List<String> phasesOfFirstEngine(World world) {
+		return world.entries()
+			.stream()
+			.flatMap((entry) -> entry.core().status().servers().stream())
+			.filter((server) -> server.serverId().equals("engine-0"))
+			.map(ServerStatus::phase)
+			.toList();
+	}
+
 	// Every instance sees another part of the list of entry instances.
 	private static void differLists(World world, SplittableRandom random) {
 		List<InstanceRecord> all = world.rows();
@@ -105,6 +115,7 @@
 			EngineActor engine = world.engines().get(0);
 			engine.turnCold();
 			world.time().runUntil(CRASH_MILLIS + 4_000);
+			assertThat(phasesOfFirstEngine(world), everyItem(is("warming")));
 			long submissions = engine.submissions();
 			world.time().runUntil(CRASH_MILLIS + 6_000);
 			assertThat(engine.submissions() - submissions, lessThanOrEqualTo(6L));
--- a/core/src/test/java/org/skylarkspring/core/internal/RefusalTests.java
+++ b/core/src/test/java/org/skylarkspring/core/internal/RefusalTests.java
@@ -125,6 +125,17 @@
 			assertThat(RefusalTests.this.harness.dispatches(), hasSize(0));
 		}
 
+		@Test
+		void areSettledByTheAttemptWhenAStoreAnswerIsLost() {
+			RefusalTests.this.harness.send(CoreHarness.booking(CoreHarness.key(CoreHarness.EPOCH_MILLIS)));
+			Action.StoreWrite first = RefusalTests.this.harness.lastWrite();
+			RefusalTests.this.harness.answer(first, new StoreAnswer.Lost());
+			assertThat(RefusalTests.this.harness.dispatches(), hasSize(0));
+			RefusalTests.this.harness.answer(RefusalTests.this.harness.lastWrite(),
+					new StoreAnswer.Found(9, first.value()));
+			assertThat(RefusalTests.this.harness.dispatches(), hasSize(1));
+		}
+
 		@Test
 		void areNeverNotRunForAnExpiredKey() {
 			long request = RefusalTests.this.harness
