Add failure scenarios on real processes and the capacity measurements

Cause: the histories run on a virtual clock; the same faults have to be seen once on real processes, and docs/CAPACITY.md needs slopes.

Ruled out: a link stand-in that ends when its target does not listen yet; it now refuses.

--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/capacity/CapacityMain.java
@@ -0,0 +1,158 @@
+package org.skylarkspring.bench.capacity;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.IntFunction;
+
+import org.skylarkspring.core.model.Directive;
+import org.skylarkspring.core.model.RampRecord;
+import org.skylarkspring.core.model.RecordedAnswer;
+import org.skylarkspring.core.model.StoredObject;
+import org.skylarkspring.entry.api.EngineMessages;
+import org.skylarkspring.entry.http.Json;
+
+/**
+ * Prints the sizes of messages and of table rows, each at several sizes, with the slope
+ * between the smallest and the largest.
+ */
+public final class CapacityMain {
+
+	private static final int COPIES = 3;
+
+	private static final int COLLECTIONS = 4;
+
+	private CapacityMain() {
+	}
+
+	/**
+	 * Measures and prints.
+	 * @param arguments not used
+	 */
+	public static void main(String[] arguments) {
+		System.out.println("heap of one decision core, bytes");
+		heap("servers (260 workspaces)", new int[] { 130, 520, 1_300 }, (size) -> new CoreAtSize(size, 260, 41));
+		heap("workspaces in use (130 servers)", new int[] { 260, 1_300, 2_600 }, CapacityMain::withAllWorkspaces);
+		heap("entry instances (130 servers)", new int[] { 41, 205, 410 }, (size) -> new CoreAtSize(130, 260, size));
+		heap("open requests (130 servers)", new int[] { 100, 400, 800 }, CapacityMain::withOpenRequests);
+		System.out.println();
+		System.out.println("messages, bytes of JSON");
+		message("configuration, by workspaces", new int[] { 260, 1_300, 2_600 }, CoreAtSize::configuration);
+		message("list of instances, by instances", new int[] { 171, 855, 1_710 },
+				(size) -> CoreAtSize.instances(size * 1_300 / 1_710, size * 410 / 1_710));
+		message("load report, by cache events", new int[] { 0, 4, 8 }, CapacityMain::load);
+		message("warm-up records, by servers", new int[] { 1, 16, 32 }, CapacityMain::ramps);
+		message("directives, by targets", new int[] { 1, 5, 13 }, CapacityMain::directives);
+		message("lease", new int[] { 1 }, (size) -> new StoredObject.Lease("entry-0123", 17, 10_000, 123));
+		message("claim, started", new int[] { 1 }, (size) -> claim(null));
+		message("claim, finished", new int[] { 1 },
+				(size) -> claim(new RecordedAnswer(201, "application/json", "{\"bookingNumber\":12345}", false)));
+		System.out.println();
+		System.out.printf("servers polled by one instance at 1300 servers: %d%n",
+				new CoreAtSize(1_300, 2_600, 410).polledServers());
+	}
+
+	private static CoreAtSize withAllWorkspaces(int workspaces) {
+		CoreAtSize core = new CoreAtSize(130, workspaces, 41);
+		for (int request = 0; request < workspaces; request++) {
+			if (request % 8 == 0) {
+				core.report();
+			}
+			core.decide();
+			core.endOldest();
+		}
+		return core;
+	}
+
+	private static CoreAtSize withOpenRequests(int requests) {
+		CoreAtSize core = new CoreAtSize(130, 260, 41);
+		for (int request = 0; request < 8 * requests && core.openRequests() < requests; request++) {
+			if (request % 4 == 0) {
+				core.report();
+			}
+			core.decide();
+		}
+		return core;
+	}
+
+	private static void heap(String name, int[] sizes, IntFunction<CoreAtSize> create) {
+		create.apply(sizes[0]);
+		List<Long> bytes = new ArrayList<>();
+		for (int size : sizes) {
+			bytes.add(heapOf(size, create));
+		}
+		print(name, sizes, bytes);
+	}
+
+	private static long heapOf(int size, IntFunction<CoreAtSize> create) {
+		long before = usedBytes();
+		List<CoreAtSize> copies = new ArrayList<>();
+		for (int copy = 0; copy < COPIES; copy++) {
+			copies.add(create.apply(size));
+		}
+		long used = (usedBytes() - before) / copies.size();
+		copies.clear();
+		return used;
+	}
+
+	private static long usedBytes() {
+		for (int round = 0; round < COLLECTIONS; round++) {
+			System.gc();
+		}
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+	}
+
+	private static void message(String name, int[] sizes, IntFunction<Object> create) {
+		List<Long> bytes = new ArrayList<>();
+		for (int size : sizes) {
+			bytes.add((long) Json.write(create.apply(size)).getBytes(StandardCharsets.UTF_8).length);
+		}
+		print(name, sizes, bytes);
+	}
+
+	private static void print(String name, int[] sizes, List<Long> bytes) {
+		StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "  %-34s", name));
+		for (int index = 0; index < sizes.length; index++) {
+			line.append(String.format(Locale.ROOT, " %5d: %9d", sizes[index], bytes.get(index)));
+		}
+		if (sizes.length > 1) {
+			int last = sizes.length - 1;
+			double slope = (bytes.get(last) - bytes.get(0)) / (double) (sizes[last] - sizes[0]);
+			line.append(String.format(Locale.ROOT, "  slope %.0f", slope));
+		}
+		System.out.println(line);
+	}
+
+	private static Object load(int cacheEvents) {
+		List<EngineMessages.CacheEvent> events = new ArrayList<>();
+		for (int index = 0; index < cacheEvents; index++) {
+			events.add(new EngineMessages.CacheEvent(100_000 + index, 0x123456789abcdefL, true));
+		}
+		return new EngineMessages.Load(1_800_000_000_000L, 1_800_000_000_123L, 40, 3, 2_100, 2_600, 16, 54.123456789,
+				12, "v1", false, events);
+	}
+
+	private static Object ramps(int servers) {
+		List<RampRecord> ramps = new ArrayList<>();
+		for (int index = 0; index < servers; index++) {
+			ramps.add(new RampRecord("server-" + index, 1_800_000_000_000L, 1, 12_345));
+		}
+		return ramps;
+	}
+
+	private static Object directives(int targets) {
+		List<Directive> directives = new ArrayList<>();
+		for (int index = 0; index < targets; index++) {
+			directives.add(new Directive(Directive.TargetKind.DATA_CENTRE, "dc-" + index, true, index, "entry-0"));
+		}
+		return directives;
+	}
+
+	private static Object claim(RecordedAnswer answer) {
+		return Map.of("claim", new StoredObject.Claim("entry-0123/123456/-1234567890123456789", "a".repeat(64),
+				StoredObject.ClaimState.STARTED, (answer != null) ? answer : new RecordedAnswer(0, "", "", false)));
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/capacity/CoreAtSize.java
@@ -0,0 +1,184 @@
+package org.skylarkspring.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.skylarkspring.core.DecisionCore;
+import org.skylarkspring.core.action.Action;
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.config.DataCentrePolicy;
+import org.skylarkspring.core.config.PoolPolicy;
+import org.skylarkspring.core.config.ServiceKind;
+import org.skylarkspring.core.config.ServicePolicy;
+import org.skylarkspring.core.config.WorkspacePolicy;
+import org.skylarkspring.core.event.Event;
+import org.skylarkspring.core.model.AttemptResult;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.core.model.InstanceRole;
+import org.skylarkspring.core.model.InstanceState;
+import org.skylarkspring.core.model.LoadReport;
+import org.skylarkspring.core.model.RampRecord;
+import org.skylarkspring.core.model.RequestSpec;
+import org.skylarkspring.core.model.WorkClass;
+
+/**
+ * A decision core in a fleet of a given size, its selected servers warm and reporting.
+ */
+public final class CoreAtSize {
+
+	private static final int MODELS = 8;
+
+	private static final int DATA_CENTRES = 13;
+
+	private static final int REGIONS = 4;
+
+	private static final long WARM_MILLIS = 10_000_000;
+
+	private final int workspaces;
+
+	private final DecisionCore core = DecisionCore.builder("entry-0", "dc-0").seed(1).build();
+
+	private final List<Action.Dispatch> open = new ArrayList<>();
+
+	private long nowMillis = 1_000;
+
+	private long lastRequestId;
+
+	/**
+	 * Creates a core.
+	 * @param servers number of backend servers in the fleet
+	 * @param workspaces number of workspaces
+	 * @param entries number of entry instances
+	 */
+	public CoreAtSize(int servers, int workspaces, int entries) {
+		this.workspaces = workspaces;
+		step(new Event.ConfigurationOffered(configuration(workspaces)));
+		step(new Event.InstancesListed(instances(servers, entries)));
+		List<RampRecord> ramps = IntStream.range(0, servers)
+			.mapToObj((index) -> new RampRecord("server-" + index, 1, 0, WARM_MILLIS))
+			.toList();
+		step(new Event.RampsOffered(ramps));
+		report();
+	}
+
+	/**
+	 * Returns a configuration of a given size.
+	 * @param workspaces number of workspaces
+	 * @return the configuration
+	 */
+	public static Configuration configuration(int workspaces) {
+		List<DataCentrePolicy> centres = IntStream.range(0, DATA_CENTRES)
+			.mapToObj((index) -> new DataCentrePolicy("dc-" + index, "region-" + index % REGIONS))
+			.toList();
+		List<String> centreNames = centres.stream().map(DataCentrePolicy::name).toList();
+		List<PoolPolicy> pools = IntStream.range(0, MODELS)
+			.mapToObj((index) -> new PoolPolicy("model-" + index, centreNames, 60_000, 4, 64, 820, "", 1, 1))
+			.toList();
+		List<ServicePolicy> services = pools.stream()
+			.map((pool) -> new ServicePolicy(pool.name(), ServiceKind.GENERATION, pool.name(), 1_800, 66, 10_000,
+					262_144, 86_400_000))
+			.toList();
+		List<WorkspacePolicy> policies = IntStream.range(0, workspaces)
+			.mapToObj((index) -> new WorkspacePolicy("workspace-" + index, String.format("%064x", index * 7_919L), 1,
+					WorkClass.INTERACTIVE, List.of("model-" + index % MODELS, "model-" + (index + 1) % MODELS)))
+			.toList();
+		return new Configuration(1, "capacity", services, pools, policies, centres);
+	}
+
+	/**
+	 * Returns a list of instances of a given size.
+	 * @param servers number of backend servers
+	 * @param entries number of entry instances
+	 * @return the list
+	 */
+	public static List<InstanceRecord> instances(int servers, int entries) {
+		List<InstanceRecord> rows = new ArrayList<>();
+		for (int index = 0; index < servers; index++) {
+			rows.add(new InstanceRecord("server-" + index, InstanceRole.BACKEND, "model-" + index % MODELS,
+					"dc-" + index / MODELS % DATA_CENTRES, "10.0." + index / 250 + "." + index % 250 + ":8000",
+					InstanceState.LIVE));
+		}
+		for (int index = 0; index < entries; index++) {
+			rows.add(new InstanceRecord("entry-" + index, InstanceRole.ENTRY, "", "dc-" + index % DATA_CENTRES,
+					"10.1." + index / 250 + "." + index % 250 + ":8091", InstanceState.LIVE));
+		}
+		return rows;
+	}
+
+	/**
+	 * Returns the number of servers that the core polls.
+	 * @return number of servers
+	 */
+	public int polledServers() {
+		return this.core.polledServers().size();
+	}
+
+	/** Reports idle load for all polled servers. */
+	public void report() {
+		this.nowMillis++;
+		Event[] reports = this.core.polledServers()
+			.stream()
+			.map((server) -> new Event.LoadReported(
+					new LoadReport(server.instanceId(), 1, this.nowMillis, 0, 0, 0, 2_600, 16, 30, 0, "", false)))
+			.toArray(Event[]::new);
+		step(reports);
+	}
+
+	/**
+	 * Lets time pass without events.
+	 * @param millis how long
+	 */
+	public void tick(long millis) {
+		this.nowMillis += millis;
+		step();
+	}
+
+	/**
+	 * Sends one request and returns the decision on it.
+	 * @return number of actions
+	 */
+	public int decide() {
+		this.lastRequestId++;
+		int workspace = (int) (this.lastRequestId * 31 % this.workspaces);
+		RequestSpec spec = RequestSpec.builder("model-" + workspace % MODELS, "workspace-" + workspace)
+			.promptTokens(400)
+			.prefix(workspace + 1, 128)
+			.build();
+		return step(new Event.RequestArrived(this.lastRequestId, spec)).size();
+	}
+
+	/** Ends the oldest open request with an answer of 300 tokens. */
+	public void endOldest() {
+		if (!this.open.isEmpty()) {
+			step(new Event.AttemptEnded(this.open.remove(0).attemptId(), new AttemptResult.Generated(300)));
+		}
+	}
+
+	/** Reports progress of all open requests, as happens ten times a second. */
+	public void progress() {
+		Event[] events = this.open.stream()
+			.map((dispatch) -> new Event.TokensReceived(dispatch.attemptId(), 10 + (int) (this.nowMillis % 200)))
+			.toArray(Event[]::new);
+		this.nowMillis++;
+		step(events);
+	}
+
+	/**
+	 * Returns the number of open requests.
+	 * @return number of requests
+	 */
+	public int openRequests() {
+		return this.open.size();
+	}
+
+	private List<Action> step(Event... events) {
+		List<Action> actions = this.core.step(List.of(events), this.nowMillis);
+		actions.stream()
+			.filter(Action.Dispatch.class::isInstance)
+			.map(Action.Dispatch.class::cast)
+			.forEach(this.open::add);
+		return actions;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/capacity/DecisionBenchmark.java
@@ -0,0 +1,98 @@
+package org.skylarkspring.bench.capacity;
+
+import java.util.concurrent.TimeUnit;
+
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/**
+ * Times of one decision, one tick and one progress event in fleets of several sizes.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class DecisionBenchmark {
+
+	private static final int OPEN_REQUESTS = 125;
+
+	private static final int REPORT_EVERY = 200;
+
+	/** Number of backend servers. */
+	@Param({ "130", "520", "1300" })
+	public int servers;
+
+	/** Number of workspaces. */
+	@Param({ "260", "2600" })
+	public int workspaces;
+
+	private CoreAtSize core;
+
+	private int calls;
+
+	/**
+	 * Runs the benchmark.
+	 * @param arguments not used
+	 * @throws RunnerException if the benchmark fails
+	 */
+	public static void main(String[] arguments) throws RunnerException {
+		new Runner(new OptionsBuilder().include(DecisionBenchmark.class.getSimpleName()).build()).run();
+	}
+
+	/** Creates the fleet with the open requests of one node. */
+	@Setup(Level.Iteration)
+	public void createCore() {
+		this.core = new CoreAtSize(this.servers, this.workspaces, this.servers * 410 / 1_300);
+		this.calls = 0;
+		for (int request = 0; request < OPEN_REQUESTS; request++) {
+			if (request % 20 == 0) {
+				this.core.report();
+			}
+			this.core.decide();
+		}
+		this.core.report();
+	}
+
+	/**
+	 * Decides on one request and ends the oldest one.
+	 * @return number of actions
+	 */
+	@Benchmark
+	public int decision() {
+		this.calls++;
+		if (this.calls % REPORT_EVERY == 0) {
+			this.core.report();
+		}
+		int actions = this.core.decide();
+		this.core.endOldest();
+		return actions;
+	}
+
+	/** Runs the systems that are due after 20 ms. */
+	@Benchmark
+	public void tick() {
+		this.core.tick(20);
+	}
+
+	/** Takes the progress of all open requests. */
+	@Benchmark
+	public void progressOfAllRequests() {
+		this.core.progress();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/load/AddressList.java
@@ -0,0 +1,38 @@
+package org.skylarkspring.bench.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * Addresses of entry instances: a comma-separated list, or {@code @FILE} to read the list
+ * again for each request, as a balancer follows its members.
+ */
+final class AddressList {
+
+	private final String text;
+
+	AddressList(String text) {
+		this.text = text;
+	}
+
+	String pick(int number) {
+		List<String> addresses = List.of(current().split(","));
+		return addresses.get(Math.floorMod(number, addresses.size()));
+	}
+
+	private String current() {
+		if (!this.text.startsWith("@")) {
+			return this.text;
+		}
+		try {
+			return Files.readString(Path.of(this.text.substring(1))).strip();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkspring/bench/standin/LinkStandIn.java
@@ -0,0 +1,76 @@
+package org.skylarkspring.bench.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+
+/**
+ * A network link on loopback: forwards connections from one port to another. Stopping its
+ * process stalls the link, killing it cuts the link.
+ */
+public final class LinkStandIn {
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private static final int BACKLOG = 128;
+
+	private final int targetPort;
+
+	private LinkStandIn(int targetPort) {
+		this.targetPort = targetPort;
+	}
+
+	/**
+	 * Forwards until the process ends.
+	 * @param port port to listen on
+	 * @param targetPort port to forward to
+	 * @throws IOException if the port cannot be bound
+	 */
+	public static void run(int port, int targetPort) throws IOException {
+		LinkStandIn link = new LinkStandIn(targetPort);
+		try (ServerSocket server = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"))) {
+			while (true) {
+				link.forward(server.accept());
+			}
+		}
+	}
+
+	// A target that does not listen yet refuses, as it would without the link.
+	private void forward(Socket near) throws IOException {
+		try {
+			Socket far = new Socket("127.0.0.1", this.targetPort);
+			start(() -> copy(near, far));
+			start(() -> copy(far, near));
+		}
+		catch (IOException ex) {
+			near.close();
+		}
+	}
+
+	private static void start(Runnable task) {
+		Thread thread = new Thread(task, "link");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	private static void copy(Socket from, Socket to) {
+		byte[] buffer = new byte[BUFFER_BYTES];
+		try (from; to) {
+			InputStream input = from.getInputStream();
+			OutputStream output = to.getOutputStream();
+			int count = input.read(buffer);
+			while (count >= 0) {
+				output.write(buffer, 0, count);
+				output.flush();
+				count = input.read(buffer);
+			}
+		}
+		catch (IOException ex) {
+			// Either side has closed; both are closed now.
+		}
+	}
+
+}
