Give no new work to servers that stopped reporting; name timeouts

Cause: a link that stalls leaves the last report standing, and new work went on by it. A constant for the age of reports existed, but nothing used it.

Figures: RefusalTests.SilentServers fails without the check (the request was dispatched) and passes with it; 17 tests of refusals and shutdown pass.

--- a/core/src/main/java/org/skylarkspring/core/internal/AttemptSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/AttemptSystem.java
@@ -81,7 +81,7 @@
 		else if (event.result() instanceof AttemptResult.Failed failed) {
 			attempt.server.consecutiveFailures++;
 			suspend(attempt.server);
-			failed(attempt, failed);
+			failed(attempt, failed, RefusalCode.BACKEND_FAILED);
 		}
 	}
 
@@ -114,7 +114,7 @@
 		if (silentMillis >= attempt.request.service.stallTimeoutMillis()) {
 			this.context.count("stalled_attempts");
 			cancel(attempt);
-			failed(attempt, new AttemptResult.Failed(Verdict.MAY_HAVE_RUN, true));
+			failed(attempt, new AttemptResult.Failed(Verdict.MAY_HAVE_RUN, true), RefusalCode.TIMED_OUT);
 			return;
 		}
 		if (shouldMove(attempt)) {
@@ -156,7 +156,7 @@
 		this.finish.finish(request, new Outcome.Completed(0));
 	}
 
-	private void failed(AttemptEntry attempt, AttemptResult.Failed failed) {
+	private void failed(AttemptEntry attempt, AttemptResult.Failed failed, RefusalCode code) {
 		RequestEntry request = attempt.request;
 		boolean notRun = failed.verdict() == Verdict.NOT_RUN;
 		this.context.count(notRun ? "attempts_not_run" : "attempts_failed");
@@ -164,7 +164,7 @@
 			request.mayHaveRun = true;
 		}
 		if (request.deliveredTokens > 0) {
-			resumeOrInterrupt(attempt, failed.resumable());
+			resumeOrInterrupt(attempt, failed.resumable(), code);
 			return;
 		}
 		request.triedServers.add(attempt.server.serverId);
@@ -174,10 +174,10 @@
 			this.queue.enqueueAgain(request);
 			return;
 		}
-		this.queue.refuse(request, RefusalCode.BACKEND_FAILED);
+		this.queue.refuse(request, code);
 	}
 
-	private void resumeOrInterrupt(AttemptEntry attempt, boolean resumable) {
+	private void resumeOrInterrupt(AttemptEntry attempt, boolean resumable, RefusalCode code) {
 		RequestEntry request = attempt.request;
 		if (resumable && !attempt.resumed) {
 			this.context.count("resumed_attempts");
@@ -186,7 +186,7 @@
 		}
 		this.context.count("interrupted");
 		long spreadMillis = (long) (INTERRUPTED_RETRY_MILLIS * (1 + this.context.random.nextDouble()));
-		this.finish.refuse(request, RefusalCode.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, spreadMillis);
+		this.finish.refuse(request, code, Verdict.MAY_HAVE_RUN, spreadMillis);
 	}
 
 	private void cancel(AttemptEntry attempt) {
--- a/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
@@ -99,9 +99,15 @@
 		return this.report != null && this.report.loading();
 	}
 
+	// Without reports the link may stall, and the load is unknown.
+	private boolean reportsLately(long nowMillis) {
+		return this.report != null && nowMillis - this.reportReceivedAtMillis < CoreLimits.REPORT_EXPIRY_MILLIS;
+	}
+
 	boolean mayReceive(long nowMillis) {
 		return this.listed && !this.drained && !leaving() && nowMillis >= this.suspendedUntilMillis
-				&& this.phase != ServerPhase.COLD && !loading() && this.suspectSinceMillis == Long.MIN_VALUE;
+				&& this.phase != ServerPhase.COLD && !loading() && this.suspectSinceMillis == Long.MIN_VALUE
+				&& reportsLately(nowMillis);
 	}
 
 	/**
--- a/core/src/test/java/org/skylarkspring/core/internal/RefusalTests.java
+++ b/core/src/test/java/org/skylarkspring/core/internal/RefusalTests.java
@@ -89,6 +89,7 @@
 			RefusalTests.this.harness.pass(5_200);
 			assertThat(RefusalTests.this.harness.emitted(Action.CancelAttempt.class).size(), greaterThanOrEqualTo(1));
 			assertThat(refusal(request).verdict(), is(Verdict.MAY_HAVE_RUN));
+			assertThat(refusal(request).code(), is(RefusalCode.TIMED_OUT));
 		}
 
 	}
@@ -171,6 +172,7 @@
 			CoreHarness wide = new CoreHarness(150);
 			for (int count = 0; count < requests; count++) {
 				wide.nowMillis += 200;
+				wide.reportAll(1);
 				long request = wide.send(CoreHarness.generation().deadlineMillis(60_000));
 				while (!wide.finished(request)) {
 					wide.fail(wide.lastDispatch(), new AttemptResult.Failed(Verdict.MAY_HAVE_RUN, false));
@@ -182,6 +184,20 @@
 
 	}
 
+	@Nested
+	class SilentServers {
+
+		@Test
+		void receiveNothingUntilTheyReportAgain() {
+			RefusalTests.this.harness.pass(20_000);
+			RefusalTests.this.harness.send(CoreHarness.generation());
+			assertThat(RefusalTests.this.harness.dispatches(), hasSize(0));
+			RefusalTests.this.harness.reportAll(1);
+			assertThat(RefusalTests.this.harness.dispatches(), hasSize(1));
+		}
+
+	}
+
 	@Nested
 	class FailedAttempts {
 
