List configured entries and model versions from the command line

Cause: the administration API had only the whole configuration, and operators could not see where orders stand.

--- a/bench/src/test/java/org/skylarkspring/bench/standin/BadInputTests.java
+++ b/bench/src/test/java/org/skylarkspring/bench/standin/BadInputTests.java
@@ -163,6 +163,31 @@
 
 	}
 
+	@Nested
+	class Operators {
+
+		@Test
+		void seeWhatIsInForce() {
+			assertThat(stack.cli("list", "services"), containsString("\"maximumBodyBytes\":4000"));
+			assertThat(stack.cli("status"), containsString("engine-1"));
+			assertThat(stack.cli("orders"), containsString("engine-1"));
+		}
+
+		@Test
+		void drainAndRestoreAServer() {
+			assertThat(stack.cli("drain", "server", "engine-9"), startsWith("DONE"));
+			assertThat(stack.cli("status"), containsString("drained: SERVER engine-9"));
+			assertThat(stack.cli("restore", "server", "engine-9"), startsWith("DONE"));
+		}
+
+		@Test
+		void areToldOfAnotherRevision() {
+			assertThat(stack.cli("publish", folder.toString(), "--expect", "77"),
+					containsString("revision 1 is in force, not 77"));
+		}
+
+	}
+
 	@Nested
 	class ControlPaths {
 
--- a/bench/src/test/java/org/skylarkspring/bench/standin/LocalStack.java
+++ b/bench/src/test/java/org/skylarkspring/bench/standin/LocalStack.java
@@ -1,10 +1,12 @@
 package org.skylarkspring.bench.standin;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -67,6 +69,16 @@
 		await(() -> this.client.call(HttpCall.get(this.caller, "/readyz")).join().status() == 200);
 	}
 
+	String cli(String... words) {
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		PrintStream printer = new PrintStream(output);
+		CommandLineTool tool = new CommandLineTool(
+				Map.of("SKYLARKSPRING_ADMIN_KEY", ADMIN_KEY, "SKYLARKSPRING_CONTROL_ADDRESS", this.control), printer,
+				printer);
+		ExitCode code = tool.run(words);
+		return code + "\n" + output.toString(StandardCharsets.UTF_8);
+	}
+
 	static void await(BooleanSupplier condition) {
 		long end = System.currentTimeMillis() + START_TIMEOUT_MILLIS;
 		while (System.currentTimeMillis() < end) {
--- a/cli/src/main/java/org/skylarkspring/cli/AdminClient.java
+++ b/cli/src/main/java/org/skylarkspring/cli/AdminClient.java
@@ -51,8 +51,8 @@
 		return call(HttpCall.get(this.address, "/admin/status"));
 	}
 
-	HttpReply configuration() throws HttpFailure {
-		return call(HttpCall.get(this.address, "/admin/configuration"));
+	HttpReply configured(String part) throws HttpFailure {
+		return call(HttpCall.get(this.address, "/admin/" + part));
 	}
 
 	AdminMessages.OrderResult order(String path, Object message) throws HttpFailure {
--- a/cli/src/main/java/org/skylarkspring/cli/CommandLineTool.java
+++ b/cli/src/main/java/org/skylarkspring/cli/CommandLineTool.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import com.google.gson.JsonArray;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -35,6 +36,8 @@
 
 	private static final String KEY_VARIABLE = "SKYLARKSPRING_ADMIN_KEY";
 
+	private static final List<String> LISTS = List.of("services", "pools", "workspaces", "data-centres");
+
 	private static final Options OPTIONS = options();
 
 	private final Map<String, String> environment;
@@ -90,6 +93,8 @@
 			case "drain" -> drain(flags, words, true);
 			case "restore" -> drain(flags, words, false);
 			case "config" -> config(flags, words);
+			case "list" -> list(flags, words);
+			case "orders" -> orders(flags);
 			default -> usage("unknown command '" + words.get(0) + "'");
 		};
 	}
@@ -103,13 +108,38 @@
 		}
 		if (words.size() == 2 && words.get(1).equals("show")) {
 			try (AdminClient client = client(flags)) {
-				this.output.println(client.configuration().body());
+				this.output.println(client.configured("configuration").body());
 				return ExitCode.DONE;
 			}
 		}
 		return usage("use 'config check FOLDER' or 'config show'");
 	}
 
+	private ExitCode list(CommandLine flags, List<String> words) throws IOException {
+		if (words.size() != 2 || !LISTS.contains(words.get(1))) {
+			return usage("list needs one of " + LISTS);
+		}
+		try (AdminClient client = client(flags)) {
+			JsonArray entries = Json.read(client.configured(words.get(1)).body(), JsonArray.class)
+				.orElseGet(JsonArray::new);
+			entries.forEach((entry) -> this.output.println(entry));
+			return ExitCode.DONE;
+		}
+	}
+
+	private ExitCode orders(CommandLine flags) throws IOException {
+		try (AdminClient client = client(flags)) {
+			Optional<Configuration> configuration = Json.read(client.configured("configuration").body(),
+					Configuration.class);
+			Optional<AdminMessages.Status> status = Json.read(client.status().body(), AdminMessages.Status.class);
+			if (configuration.isEmpty() || status.isEmpty()) {
+				throw new IOException("the instance has no configuration yet");
+			}
+			new OrderPrinter(this.output).print(configuration.get(), status.get());
+			return ExitCode.DONE;
+		}
+	}
+
 	private ExitCode publish(CommandLine flags, String folder) throws IOException {
 		Optional<Configuration> configuration = check(folder);
 		if (configuration.isEmpty()) {
@@ -209,6 +239,8 @@
 				  publish FOLDER            check all configuration files below a folder and put them in force
 				  config check FOLDER       check the files and change nothing
 				  config show               print the configuration in force
+				  list services             list services; also pools, workspaces, data-centres
+				  orders                    show which model version each server has and should have
 				  status                    show where which revision is in force, and the backend servers
 				  drain data-centre NAME    send no new work to a data centre
 				  drain server NAME         send no new work to a backend server
--- /dev/null
+++ b/cli/src/main/java/org/skylarkspring/cli/OrderPrinter.java
@@ -0,0 +1,34 @@
+package org.skylarkspring.cli;
+
+import java.io.PrintStream;
+
+import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.config.PoolPolicy;
+import org.skylarkspring.core.model.ServerStatus;
+import org.skylarkspring.entry.api.AdminMessages;
+
+/**
+ * Prints the model version of each server beside the configured one.
+ */
+final class OrderPrinter {
+
+	private static final String FORMAT = "%-20s %-18s %-12s %-12s%n";
+
+	private final PrintStream output;
+
+	OrderPrinter(PrintStream output) {
+		this.output = output;
+	}
+
+	void print(Configuration configuration, AdminMessages.Status status) {
+		this.output.printf(FORMAT, "SERVER", "POOL", "CONFIGURED", "LOADED");
+		status.core().servers().forEach((server) -> print(configuration, server));
+	}
+
+	private void print(Configuration configuration, ServerStatus server) {
+		String wanted = configuration.pool(server.pool()).map(PoolPolicy::modelVersion).orElse("");
+		this.output.printf(FORMAT, server.serverId(), server.pool(), wanted.isEmpty() ? "-" : wanted,
+				server.modelVersion().isEmpty() ? "-" : server.modelVersion());
+	}
+
+}
--- a/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
@@ -213,8 +213,8 @@
 		int usedBlocks = server.report().map((report) -> report.usedBlocks()).orElse(-1);
 		return new ServerStatus(server.serverId, server.listing.pool(), server.listing.dataCentre(),
 				server.mayReceive(this.context.nowMillis), server.phase.name().toLowerCase(Locale.ROOT),
-				this.ramps.ownLimit(server), this.ramps.totalLimit(server), server.attempts.size(), running,
-				usedBlocks);
+				this.ramps.ownLimit(server), this.ramps.totalLimit(server), server.attempts.size(), running, usedBlocks,
+				server.report().map((report) -> report.modelVersion()).orElse(""));
 	}
 
 }
--- a/core/src/main/java/org/skylarkspring/core/model/ServerStatus.java
+++ b/core/src/main/java/org/skylarkspring/core/model/ServerStatus.java
@@ -13,7 +13,8 @@
  * @param ownRunning requests this instance has running there
  * @param reportedRunning sequences running by the last report, -1 without one
  * @param reportedUsedBlocks memory blocks in use by the last report, -1 without one
+ * @param modelVersion version of the model loaded by the last report, empty without one
  */
 public record ServerStatus(String serverId, String pool, String dataCentre, boolean eligible, String phase, int limit,
-		int totalLimit, int ownRunning, int reportedRunning, int reportedUsedBlocks) {
+		int totalLimit, int ownRunning, int reportedRunning, int reportedUsedBlocks, String modelVersion) {
 }
--- a/entry/src/main/java/org/skylarkspring/entry/internal/ControlHandler.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/ControlHandler.java
@@ -16,6 +16,7 @@
 import io.undertow.util.SameThreadExecutor;
 
 import org.skylarkspring.core.DecisionCore;
+import org.skylarkspring.core.config.Configuration;
 import org.skylarkspring.core.model.InstanceRecord;
 import org.skylarkspring.core.model.RefusalCode;
 import org.skylarkspring.core.model.Verdict;
@@ -95,7 +96,11 @@
 		boolean post = exchange.getRequestMethod().equals(Methods.POST);
 		switch (path) {
 			case "/admin/status" -> later(exchange, status());
-			case "/admin/configuration" -> configuration(exchange);
+			case "/admin/configuration" -> configured(exchange, Function.identity());
+			case "/admin/services" -> configured(exchange, Configuration::services);
+			case "/admin/pools" -> configured(exchange, Configuration::pools);
+			case "/admin/workspaces" -> configured(exchange, Configuration::workspaces);
+			case "/admin/data-centres" -> configured(exchange, Configuration::dataCentres);
 			case "/admin/publish" -> orders(exchange, post, AdminMessages.Publish.class, this::publish);
 			case "/admin/drain" -> orders(exchange, post, AdminMessages.Drain.class, this::drain);
 			default -> notFound(exchange);
@@ -106,9 +111,9 @@
 		this.state.sharded().ifPresentOrElse((held) -> send(exchange, held.manifest()), () -> notFound(exchange));
 	}
 
-	private void configuration(HttpServerExchange exchange) {
+	private void configured(HttpServerExchange exchange, Function<Configuration, ?> part) {
 		this.state.configuration()
-			.ifPresentOrElse((configuration) -> send(exchange, configuration), () -> notFound(exchange));
+			.ifPresentOrElse((configuration) -> send(exchange, part.apply(configuration)), () -> notFound(exchange));
 	}
 
 	private PeerMessages.ShardReply shards(PeerMessages.ShardRequest request) {
