--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Recorder.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Recorder.java
@@ -80,12 +80,12 @@
 			if (firstTokenMicros >= 0) {
 				record.firstToken.recordValue(firstTokenMicros);
 			}
-			workspace.completedTokens += tokens;
 			boolean inTime = firstTokenMicros <= request.spec().deadlineMillis() * VirtualTime.MILLI;
 			record.goodTokens += inTime ? tokens : 0;
 		}
 		else if (outcome instanceof Outcome.Refused refused) {
 			boolean interrupted = refused.deliveredTokens() > 0;
+			workspace.refusedTokens += request.outputTokens() - tokens;
 			record.refused += interrupted ? 0 : 1;
 			record.interrupted += interrupted ? 1 : 0;
 			record.refusalMicros += totalMicros;
@@ -216,7 +216,12 @@
 
 		long offeredTokens;
 
-		long completedTokens;
+		/** Tokens of refused requests and of the missing parts of interrupted answers. */
+		long refusedTokens;
+
+		long servedTokens() {
+			return Math.max(0, this.offeredTokens - this.refusedTokens);
+		}
 
 	}
 
