--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Variants.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Variants.java
@@ -21,7 +21,7 @@
 	 */
 	public static List<CorePolicy> all() {
 		return List.of(roundRobin(), leastOutstanding(), reserveNothing(), reserveMaximum(), reserveMean(), firstCome(),
-				withoutPrefix(), reportedLoad(), standard());
+				withoutPrefix(), reportedLoad(), withoutReserve(), standard());
 	}
 
 	/**
@@ -72,6 +72,10 @@
 		return CorePolicy.builder().name("reported-load").cost(PlacementCosts.loadAndPrefix()).build();
 	}
 
+	static CorePolicy withoutReserve() {
+		return CorePolicy.builder().name("no-reserve").admission(AdmissionRules.withinLimits()).build();
+	}
+
 	private static CorePolicy.Builder baseline() {
 		return CorePolicy.builder().admission(AdmissionRules.always()).fairQueueing(false).earlyRefusal(false);
 	}
--- a/core/src/main/java/org/skylarkspring/core/internal/PlacementSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/PlacementSystem.java
@@ -7,6 +7,7 @@
 import org.skylarkspring.core.action.Action;
 import org.skylarkspring.core.config.ServiceKind;
 import org.skylarkspring.core.model.RefusalCode;
+import org.skylarkspring.core.model.WorkClass;
 import org.skylarkspring.core.policy.PlacementView;
 
 /**
@@ -116,7 +117,8 @@
 				server.projectedBlocks(), (blockTokens > 0) ? tokens / blockTokens : 0, totalBlocks,
 				server.prefixLikelihood(request.spec.prefixHash()), request.spec.prefixTokens(),
 				server.listing.dataCentre().equals(this.context.dataCentre), server.unreportedPlacements,
-				this.context.entryInstances.size(), server.lastPlacement);
+				this.context.entryInstances.size(), server.lastPlacement,
+				request.workspace.workClass() == WorkClass.INTERACTIVE);
 	}
 
 	// Refuses everything that waits if no server of the pool could ever take it.
--- a/core/src/main/java/org/skylarkspring/core/policy/AdmissionRules.java
+++ b/core/src/main/java/org/skylarkspring/core/policy/AdmissionRules.java
@@ -14,16 +14,28 @@
 	 */
 	private static final double SHARE_MULTIPLE = 2;
 
+	/** Part of the limits that requests with deadlines may fill. */
+	private static final double DEADLINE_CLASS_PART = 0.93;
+
 	private AdmissionRules() {
 	}
 
+	/**
+	 * Like {@link #withinLimits()}, but keeps a part of each server for the interactive
+	 * class.
+	 * @return the rule
+	 */
+	public static AdmissionRule withinLimitsByClass() {
+		return (view) -> withinLimits(view, view.interactive() ? 1 : DEADLINE_CLASS_PART);
+	}
+
 	/**
 	 * Admits while concurrency and memory stay within their limits and this instance
 	 * takes no more than its part of the free places between two reports.
 	 * @return the rule
 	 */
 	public static AdmissionRule withinLimits() {
-		return (view) -> view.concurrencyFraction() <= 1 && withinMemory(view) && withinShare(view);
+		return (view) -> withinLimits(view, 1);
 	}
 
 	/**
@@ -34,9 +46,18 @@
 		return (view) -> true;
 	}
 
-	private static boolean withinMemory(PlacementView view) {
+	private static boolean withinLimits(PlacementView view, double part) {
+		return withinConcurrency(view, part) && withinMemory(view, part) && withinShare(view);
+	}
+
+	// A server always takes one request, however small its limit.
+	private static boolean withinConcurrency(PlacementView view, double part) {
+		return view.projectedRunning() + 1 <= Math.max(1, part * view.concurrencyLimit());
+	}
+
+	private static boolean withinMemory(PlacementView view, double part) {
 		boolean empty = view.projectedRunning() < 1;
-		return empty || view.memoryFraction() <= MEMORY_CEILING;
+		return empty || view.memoryFraction() <= part * MEMORY_CEILING;
 	}
 
 	private static boolean withinShare(PlacementView view) {
--- a/core/src/main/java/org/skylarkspring/core/policy/CorePolicy.java
+++ b/core/src/main/java/org/skylarkspring/core/policy/CorePolicy.java
@@ -109,7 +109,7 @@
 
 		private PlacementCost cost = PlacementCosts.ownLoadAndPrefix();
 
-		private AdmissionRule admission = AdmissionRules.withinLimits();
+		private AdmissionRule admission = AdmissionRules.withinLimitsByClass();
 
 		private MemoryPromise promise = MemoryPromises.quantile();
 
--- a/core/src/main/java/org/skylarkspring/core/policy/PlacementView.java
+++ b/core/src/main/java/org/skylarkspring/core/policy/PlacementView.java
@@ -18,10 +18,11 @@
  * @param unreportedPlacements own placements that no report covers yet
  * @param entryInstances live entry instances that may place work on the server
  * @param lastPlacement number of the last own placement on the server, 0 for none
+ * @param interactive whether the request is of the interactive class
  */
 public record PlacementView(int ownRunning, double projectedRunning, double concurrencyLimit, double projectedBlocks,
 		double requestBlocks, int totalBlocks, double prefixLikelihood, int prefixTokens, boolean sameDataCentre,
-		int unreportedPlacements, int entryInstances, long lastPlacement) {
+		int unreportedPlacements, int entryInstances, long lastPlacement, boolean interactive) {
 
 	/**
 	 * Returns the fraction of the concurrency limit that would be used with the request.
