Rank candidates for seats only for servers that warm up

Every 200 ms all instances were ranked for every server, warm ones too, and once a second all servers were sorted with a look-up of regions in each comparison.

Ruled out: the load forecast and the queues; their time does not grow with servers that are not selected.

Conclusion: ranked once for each list and warming server; selection only after changes.

--- a/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
@@ -180,6 +180,7 @@
 			return;
 		}
 		this.context.configuration(offered);
+		this.membership.configured();
 		this.context.changed("configuration", "revision " + offered.revision() + " in force");
 	}
 
--- a/core/src/main/java/org/skylarkspring/core/internal/MembershipSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/MembershipSystem.java
@@ -3,7 +3,9 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.skylarkspring.core.config.DataCentrePolicy;
 import org.skylarkspring.core.model.Directive;
@@ -29,6 +31,8 @@
 
 	private final Set<String> selected = new HashSet<>();
 
+	private Map<String, String> regions = Map.of();
+
 	MembershipSystem(CoreContext context) {
 		this.context = context;
 	}
@@ -52,6 +56,15 @@
 		select();
 	}
 
+	/** Regions may have changed. */
+	void configured() {
+		this.regions = this.context.configuration()
+			.stream()
+			.flatMap((configuration) -> configuration.dataCentres().stream())
+			.collect(Collectors.toMap(DataCentrePolicy::name, DataCentrePolicy::region, (first, second) -> first));
+		select();
+	}
+
 	void offered(List<Directive> directives) {
 		List<Directive> newer = directives.stream().filter(this.context.directives::merge).toList();
 		newer.forEach((directive) -> this.context.changed(directive.targetKind() + " " + directive.target(),
@@ -65,7 +78,6 @@
 	void tick() {
 		if (this.period.due(this.context.nowMillis)) {
 			forgetServersWithoutWork();
-			select();
 		}
 	}
 
@@ -136,13 +148,7 @@
 	}
 
 	private String region(String dataCentre) {
-		return this.context.configuration()
-			.stream()
-			.flatMap((configuration) -> configuration.dataCentres().stream())
-			.filter((candidate) -> candidate.name().equals(dataCentre))
-			.map(DataCentrePolicy::region)
-			.findFirst()
-			.orElse("");
+		return this.regions.getOrDefault(dataCentre, "");
 	}
 
 	private long spread(ServerEntry server) {
--- a/core/src/main/java/org/skylarkspring/core/internal/RampSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/RampSystem.java
@@ -214,23 +214,34 @@
 		return server.report().map((report) -> Math.max(0, report.running() + report.waiting() - own)).orElse(0);
 	}
 
+	// Only servers that warm up need leases, and most servers are warm.
 	private void requestLeases(ServerEntry server) {
 		PoolPolicy pool = pool(server);
-		if (pool == null) {
+		boolean wanted = pool != null && server.phase == ServerPhase.WARMING
+				&& server.mayReceive(this.context.nowMillis);
+		if (!wanted && !server.seatsWanted) {
 			return;
 		}
-		boolean wanted = server.phase == ServerPhase.WARMING && server.mayReceive(this.context.nowMillis);
-		int seats = seats(pool);
-		List<String> candidates = candidates(server, seats);
+		server.seatsWanted = wanted;
+		int seats = (pool != null) ? seats(pool) : MAXIMUM_SEATS;
+		List<String> candidates = wanted ? candidates(server, seats) : List.of();
 		for (int seat = 0; seat < seats; seat++) {
-			String candidate = candidates.isEmpty() ? this.context.instanceId
-					: candidates.get(seat % candidates.size());
-			this.leases.want(leaseName(server, seat), wanted && candidate.equals(this.context.instanceId));
+			boolean own = candidates.isEmpty()
+					|| candidates.get(seat % candidates.size()).equals(this.context.instanceId);
+			this.leases.want(leaseName(server, seat), wanted && own);
 		}
 	}
 
 	// Differing lists make candidates compete for a seat; its lease decides.
 	private List<String> candidates(ServerEntry server, int seats) {
+		if (server.seatCandidatesOf != this.context.entryInstances) {
+			server.seatCandidates = rankCandidates(server, seats);
+			server.seatCandidatesOf = this.context.entryInstances;
+		}
+		return server.seatCandidates;
+	}
+
+	private List<String> rankCandidates(ServerEntry server, int seats) {
 		return this.context.entryInstances.stream()
 			.sorted(Comparator.comparing((InstanceRecord instance) -> !sameDataCentre(instance, server))
 				.thenComparingLong((instance) -> Rendezvous.score(server.serverId, instance.instanceId())))
--- a/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -47,6 +48,15 @@
 
 	long resetAtMillis;
 
+	boolean seatsWanted;
+
+	/**
+	 * Entry instances that compete for the seats, ranked from {@link #seatCandidatesOf}.
+	 */
+	List<String> seatCandidates = List.of();
+
+	List<InstanceRecord> seatCandidatesOf;
+
 	int consecutiveFailures;
 
 	long suspendedUntilMillis;
