--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Deployment.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Deployment.java
@@ -25,15 +25,19 @@
  * @param lengths lengths of generations
  * @param workspaces its workspaces with their part of the load
  * @param modelVersion model version to be loaded, empty for no orders
+ * @param pollMillis time between two polls of a server by one instance
  */
 public record Deployment(String name, String service, List<String> dataCentres, int engines, int entries,
-		EngineProfile profile, OutputLengths lengths, List<WorkspaceLoad> workspaces, String modelVersion) {
+		EngineProfile profile, OutputLengths lengths, List<WorkspaceLoad> workspaces, String modelVersion,
+		long pollMillis) {
 
 	/** Name of the plain service of every deployment. */
 	public static final String PLAIN_SERVICE = "bookings";
 
 	private static final int FULL_CONCURRENCY = 64;
 
+	private static final long POLL_MILLIS = 500;
+
 	private static final long WARMUP_MILLIS = 30_000;
 
 	private static final OutputLengths LENGTHS = new OutputLengths(180, 1.2, 16_000);
@@ -45,7 +49,7 @@
 	public static Deployment cuadernoAustral() {
 		return new Deployment("cuaderno-austral", "modelo-editorial",
 				List.of("ar-centro-a", "ar-centro-b", "ar-centro-c"), 8, 7, EngineProfile.standard(), LENGTHS,
-				workspaces(WorkClass.DEADLINE, WorkClass.INTERACTIVE), "");
+				workspaces(WorkClass.DEADLINE, WorkClass.INTERACTIVE), "", POLL_MILLIS);
 	}
 
 	/**
@@ -54,7 +58,19 @@
 	 */
 	public static Deployment ingendo() {
 		return new Deployment("ingendo", "inyigisho", List.of("kigali-a", "kigali-b", "kigali-c"), 6, 6,
-				EngineProfile.standard(), LENGTHS, workspaces(WorkClass.INTERACTIVE, WorkClass.DEADLINE), "");
+				EngineProfile.standard(), LENGTHS, workspaces(WorkClass.INTERACTIVE, WorkClass.DEADLINE), "",
+				POLL_MILLIS);
+	}
+
+	/**
+	 * Returns one model in one data centre at the size of the letter: a thirteenth of 410
+	 * entry instances before an eighth of a thirteenth of 1,300 engines, polled as rarely
+	 * as the budget for control asks.
+	 * @return the deployment
+	 */
+	public static Deployment letterDataCentre() {
+		return new Deployment("letter-data-centre", "model-1", List.of("dc-1"), 12, 32, EngineProfile.standard(),
+				LENGTHS, workspaces(WorkClass.INTERACTIVE, WorkClass.DEADLINE), "", 5_000);
 	}
 
 	/**
@@ -64,7 +80,7 @@
 	 */
 	public Deployment withLengths(OutputLengths newLengths) {
 		return new Deployment(this.name, this.service, this.dataCentres, this.engines, this.entries, this.profile,
-				newLengths, this.workspaces, this.modelVersion);
+				newLengths, this.workspaces, this.modelVersion, this.pollMillis);
 	}
 
 	/**
@@ -74,7 +90,7 @@
 	 */
 	public Deployment withProfile(EngineProfile newProfile) {
 		return new Deployment(this.name, this.service, this.dataCentres, this.engines, this.entries, newProfile,
-				this.lengths, this.workspaces, this.modelVersion);
+				this.lengths, this.workspaces, this.modelVersion, this.pollMillis);
 	}
 
 	/**
@@ -84,7 +100,7 @@
 	 */
 	public Deployment withModelVersion(String newModelVersion) {
 		return new Deployment(this.name, this.service, this.dataCentres, this.engines, this.entries, this.profile,
-				this.lengths, this.workspaces, newModelVersion);
+				this.lengths, this.workspaces, newModelVersion, this.pollMillis);
 	}
 
 	String dataCentre(int index) {
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/EntryActor.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/EntryActor.java
@@ -28,8 +28,6 @@
 
 	private static final long LATENCY_MICROS = VirtualTime.MILLI / 2;
 
-	private static final long POLL_MICROS = 500 * VirtualTime.MILLI;
-
 	private static final long PROGRESS_MICROS = 100 * VirtualTime.MILLI;
 
 	private final VirtualTime time;
@@ -59,7 +57,7 @@
 	private long lastRequestId;
 
 	EntryActor(VirtualTime time, DecisionCore core, Map<String, EngineActor> engines, Map<String, PlainActor> plains,
-			StoreActor store, Recorder recorder, long phaseMicros) {
+			StoreActor store, Recorder recorder, long pollMicros, long phaseMicros) {
 		this.time = time;
 		this.core = core;
 		this.engines = engines;
@@ -67,7 +65,7 @@
 		this.store = store;
 		this.recorder = recorder;
 		time.every(phaseMicros % TICK_MICROS, TICK_MICROS, this::step);
-		time.every(phaseMicros % POLL_MICROS, POLL_MICROS, this::poll);
+		time.every(phaseMicros % pollMicros, pollMicros, this::poll);
 	}
 
 	/**
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/ExperimentMain.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/ExperimentMain.java
@@ -84,8 +84,9 @@
 	}
 
 	private List<Experiment> experiments() {
-		List<Deployment> deployments = Stream.of(Deployment.cuadernoAustral(), Deployment.ingendo())
-			.filter((deployment) -> selected("deployments", deployment.name()))
+		List<Deployment> deployments = Stream
+			.of(Deployment.cuadernoAustral(), Deployment.ingendo(), Deployment.letterDataCentre())
+			.filter((deployment) -> list("deployments", "cuaderno-austral,ingendo").anyMatch(deployment.name()::equals))
 			.map(this::withLengths)
 			.toList();
 		List<CorePolicy> policies = (this.flags.hasOption("all-policies") ? Variants.all() : Variants.main()).stream()
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/World.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/World.java
@@ -210,7 +210,7 @@
 			.seed(this.seed + name.hashCode())
 			.build();
 		EntryActor entry = new EntryActor(this.time, core, this.engines, this.plains, this.store, this.recorder,
-				1 + Math.abs(name.hashCode() * 7_919L) % 500_000);
+				this.deployment.pollMillis() * VirtualTime.MILLI, 1 + Math.abs(name.hashCode() * 7_919L) % 500_000);
 		this.entries.add(entry);
 		this.entryRows.add(new InstanceRecord(name, InstanceRole.ENTRY, "", dataCentre, name, InstanceState.LIVE));
 		entry.post(new Event.ConfigurationOffered(this.deployment.configuration()));
