--- a/core/src/main/java/org/skylarkspring/core/DecisionCore.java
+++ b/core/src/main/java/org/skylarkspring/core/DecisionCore.java
@@ -71,6 +71,14 @@
 		return this.pipeline.ramps();
 	}
 
+	/**
+	 * Returns the warm-up state of the servers that are not warm.
+	 * @return a snapshot
+	 */
+	public List<RampRecord> warmingRamps() {
+		return this.pipeline.warmingRamps();
+	}
+
 	/**
 	 * Returns the backend servers whose load reports this instance needs.
 	 * @return rows of the platform's list
--- a/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.skylarkspring.core.action.Action;
 import org.skylarkspring.core.config.Configuration;
@@ -115,11 +116,15 @@
 	 * @return a snapshot
 	 */
 	public List<RampRecord> ramps() {
-		return this.context.servers.all()
-			.stream()
-			.filter((server) -> server.ramp != null)
-			.map((server) -> server.ramp)
-			.toList();
+		return ramps((server) -> true);
+	}
+
+	/**
+	 * Returns the warm-up state of the servers that are not warm.
+	 * @return a snapshot
+	 */
+	public List<RampRecord> warmingRamps() {
+		return ramps((server) -> server.phase != ServerPhase.WARM);
 	}
 
 	/**
@@ -209,6 +214,15 @@
 		this.intake.shutdownRequested();
 	}
 
+	private List<RampRecord> ramps(Predicate<ServerEntry> condition) {
+		return this.context.servers.all()
+			.stream()
+			.filter((server) -> server.ramp != null)
+			.filter(condition)
+			.map((server) -> server.ramp)
+			.toList();
+	}
+
 	private ServerStatus status(ServerEntry server) {
 		int running = server.report().map((report) -> report.running()).orElse(-1);
 		int usedBlocks = server.report().map((report) -> report.usedBlocks()).orElse(-1);
--- a/entry/src/main/java/org/skylarkspring/entry/internal/ControlState.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/ControlState.java
@@ -26,7 +26,9 @@
 
 	private final Map<String, Directive> directives = new ConcurrentHashMap<>();
 
-	private final Map<String, RampRecord> ramps = new ConcurrentHashMap<>();
+	private volatile List<RampRecord> ramps = List.of();
+
+	private volatile List<RampRecord> warmingRamps = List.of();
 
 	private final Map<String, PeerMessages.Digest> peers = new ConcurrentHashMap<>();
 
@@ -124,12 +126,17 @@
 		return directive;
 	}
 
-	void ramps(List<RampRecord> known) {
-		known.forEach((ramp) -> this.ramps.put(ramp.serverId(), ramp));
+	void ramps(List<RampRecord> all, List<RampRecord> warming) {
+		this.ramps = all;
+		this.warmingRamps = warming;
 	}
 
 	List<RampRecord> ramps() {
-		return List.copyOf(this.ramps.values());
+		return this.ramps;
+	}
+
+	List<RampRecord> warmingRamps() {
+		return this.warmingRamps;
 	}
 
 	void offerRamps(List<RampRecord> offered) {
--- a/entry/src/main/java/org/skylarkspring/entry/internal/EntryRuntime.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/EntryRuntime.java
@@ -104,8 +104,7 @@
 		this.platformSync.start();
 		gossip.start();
 		new LoadPoller(this.loop, caller, metrics, this.scheduler).start();
-		this.scheduler.scheduleAtFixedRate(() -> this.loop.query(DecisionCore::ramps).thenAccept(this.state::ramps),
-				RAMP_COPY_MILLIS, RAMP_COPY_MILLIS, TimeUnit.MILLISECONDS);
+		this.scheduler.scheduleAtFixedRate(this::copyRamps, RAMP_COPY_MILLIS, RAMP_COPY_MILLIS, TimeUnit.MILLISECONDS);
 		logger.info("instance {}: started, {}", this.settings.instanceId(), this.settings);
 	}
 
@@ -140,6 +139,13 @@
 		this.stopped.await();
 	}
 
+	private void copyRamps() {
+		this.loop.query((core) -> {
+			this.state.ramps(core.ramps(), core.warmingRamps());
+			return true;
+		});
+	}
+
 	private boolean ready() {
 		return !this.shuttingDown && this.state.revision() > 0 && this.state.instances().version() > 0;
 	}
--- a/entry/src/main/java/org/skylarkspring/entry/internal/PeerGossip.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PeerGossip.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 import org.skylarkspring.core.model.InstanceRecord;
 import org.skylarkspring.core.model.RampRecord;
@@ -150,11 +149,11 @@
 	}
 
 	private PeerMessages.Digest digest(boolean withDirectives, boolean allRamps) {
-		Stream<RampRecord> ramps = this.state.ramps().stream();
-		Stream<RampRecord> sent = allRamps ? ramps : ramps.filter((ramp) -> ramp.coldEpoch() > 0).limit(MAXIMUM_RAMPS);
+		List<RampRecord> sent = allRamps ? this.state.ramps()
+				: this.state.warmingRamps().stream().limit(MAXIMUM_RAMPS).toList();
 		return new PeerMessages.Digest(this.settings.instanceId(), this.settings.dataCentre(), this.state.revision(),
 				this.state.instances().version(), this.state.directivesDigest(),
-				withDirectives ? this.state.directives() : null, sent.toList(), this.wantsRamps);
+				withDirectives ? this.state.directives() : null, sent, this.wantsRamps);
 	}
 
 	private List<String> peerAddresses() {
