Count the instances that use a server, not the whole fleet

Cause: with 410 instances listed an instance took at most one unreported placement of a server between two reports, since its part of the free places was counted over all of them.

Today's decisions do not change: pools are small and all instances share them.

--- a/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/CorePipeline.java
@@ -64,7 +64,7 @@
 		FinishSystem finish = new FinishSystem(this.context, claims);
 		this.queue = new QueueSystem(this.context, finish);
 		this.intake = new IntakeSystem(this.context, this.queue, claims, finish, this.delayed);
-		this.placement = new PlacementSystem(this.context, this.queue, this.loads, this.ramps);
+		this.placement = new PlacementSystem(this.context, this.membership, this.queue, this.loads, this.ramps);
 		this.attempts = new AttemptSystem(this.context, this.queue, this.placement, claims, finish);
 	}
 
--- a/core/src/main/java/org/skylarkspring/core/internal/MembershipSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/MembershipSystem.java
@@ -33,6 +33,8 @@
 
 	private Map<String, String> regions = Map.of();
 
+	private Map<String, Long> instancesByDataCentre = Map.of();
+
 	MembershipSystem(CoreContext context) {
 		this.context = context;
 	}
@@ -44,6 +46,8 @@
 			return;
 		}
 		this.context.entryInstances = instances.stream().filter((row) -> row.role() == InstanceRole.ENTRY).toList();
+		this.instancesByDataCentre = this.context.entryInstances.stream()
+			.collect(Collectors.groupingBy(InstanceRecord::dataCentre, Collectors.counting()));
 		Set<String> names = new HashSet<>();
 		backends.forEach((row) -> {
 			names.add(row.instanceId());
@@ -81,6 +85,19 @@
 		}
 	}
 
+	/**
+	 * Returns how many entry instances are expected to use a server: all of them if the
+	 * pool is small enough for each to use all of its servers, otherwise those of the
+	 * server's data centre.
+	 * @param server the server
+	 * @return number of instances, at least 1
+	 */
+	int sharers(ServerEntry server) {
+		boolean small = this.context.servers.pool(server.listing.pool()).size() <= SELECTED_SERVERS_PER_POOL;
+		int near = this.instancesByDataCentre.getOrDefault(server.listing.dataCentre(), 0L).intValue();
+		return Math.max(1, small ? this.context.entryInstances.size() : near);
+	}
+
 	List<ServerEntry> selected() {
 		return this.context.servers.all()
 			.stream()
--- a/core/src/main/java/org/skylarkspring/core/internal/PlacementSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/PlacementSystem.java
@@ -22,6 +22,8 @@
 
 	private final CoreContext context;
 
+	private final MembershipSystem membership;
+
 	private final QueueSystem queue;
 
 	private final LoadSystem loads;
@@ -30,8 +32,10 @@
 
 	private long placements;
 
-	PlacementSystem(CoreContext context, QueueSystem queue, LoadSystem loads, RampSystem ramps) {
+	PlacementSystem(CoreContext context, MembershipSystem membership, QueueSystem queue, LoadSystem loads,
+			RampSystem ramps) {
 		this.context = context;
+		this.membership = membership;
 		this.queue = queue;
 		this.loads = loads;
 		this.ramps = ramps;
@@ -117,7 +121,7 @@
 				server.projectedBlocks(), (blockTokens > 0) ? tokens / blockTokens : 0, totalBlocks,
 				server.prefixLikelihood(request.spec.prefixHash()), request.spec.prefixTokens(),
 				server.listing.dataCentre().equals(this.context.dataCentre), server.unreportedPlacements,
-				this.context.entryInstances.size(), server.lastPlacement,
+				this.membership.sharers(server), server.lastPlacement,
 				request.workspace.workClass() == WorkClass.INTERACTIVE);
 	}
 
--- a/core/src/main/java/org/skylarkspring/core/policy/PlacementView.java
+++ b/core/src/main/java/org/skylarkspring/core/policy/PlacementView.java
@@ -16,7 +16,7 @@
  * @param prefixTokens tokens of the request's prefix
  * @param sameDataCentre whether the server is in the data centre of this instance
  * @param unreportedPlacements own placements that no report covers yet
- * @param entryInstances live entry instances that may place work on the server
+ * @param entryInstances entry instances that are expected to use the server
  * @param lastPlacement number of the last own placement on the server, 0 for none
  * @param interactive whether the request is of the interactive class
  */
