--- a/bench/src/test/java/org/skylarkspring/bench/standin/LocalStack.java
+++ b/bench/src/test/java/org/skylarkspring/bench/standin/LocalStack.java
@@ -49,20 +49,21 @@
 
 	final String control = address();
 
+	final String engine = address();
+
 	private final List<Undertow> servers = new ArrayList<>();
 
 	LocalStack(Path folder, long bodyTimeoutMillis) throws IOException {
 		String platform = address();
-		String engine = address();
 		String plain = address();
 		this.servers.add(ObjectApiStandIn.start(platform));
-		this.servers.add(EngineStandIn.start("engine-1", engine, EngineProfile.standard(), true, true));
+		this.servers.add(EngineStandIn.start("engine-1", this.engine, EngineProfile.standard(), true, true));
 		this.servers.add(PlainServiceStandIn.start(plain));
 		EntrySettings settings = new EntrySettings("entry-1", "kigali-a", this.caller, this.control, platform,
 				List.of(), PEER_KEY, ADMIN_KEY, "TEXT", 100, 100, bodyTimeoutMillis, 2);
 		new EntryInstance(settings).start();
 		List<InstanceRecord> rows = List.of(row("entry-1", InstanceRole.ENTRY, "", this.control),
-				row("engine-1", InstanceRole.BACKEND, "inyigisho", engine),
+				row("engine-1", InstanceRole.BACKEND, "inyigisho", this.engine),
 				row("plain-1", InstanceRole.BACKEND, "inguzanyo", plain));
 		this.client.call(HttpCall.put(platform, "/objects/instances?version=0", Json.write(rows))).join();
 		publish(folder);
