--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Recorder.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Recorder.java
@@ -85,7 +85,7 @@
 		}
 		else if (outcome instanceof Outcome.Refused refused) {
 			boolean interrupted = refused.deliveredTokens() > 0;
-			workspace.refusedTokens += request.outputTokens() - tokens;
+			workspace.refusedTokens += interrupted ? request.outputTokens() - tokens : 0;
 			record.refused += interrupted ? 0 : 1;
 			record.interrupted += interrupted ? 1 : 0;
 			record.refusalMicros += totalMicros;
@@ -104,6 +104,12 @@
 		this.history.delivered(request, generation, offset);
 	}
 
+	void gaveUp(SimulatedRequest request) {
+		if (measuring()) {
+			workspace(request).refusedTokens += request.outputTokens();
+		}
+	}
+
 	void cut(SimulatedRequest request) {
 		this.classes.get(request.workClass()).cut++;
 	}
@@ -216,7 +222,9 @@
 
 		long offeredTokens;
 
-		/** Tokens of refused requests and of the missing parts of interrupted answers. */
+		/**
+		 * Tokens of requests given up and of the missing parts of interrupted answers.
+		 */
 		long refusedTokens;
 
 		long servedTokens() {
--- a/bench/src/main/java/org/skylarkspring/bench/experiment/Workload.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/Workload.java
@@ -89,9 +89,11 @@
 	private void finished(SimulatedRequest request, Outcome outcome) {
 		if (outcome instanceof Outcome.Refused refused && refused.deliveredTokens() == 0) {
 			long delayMillis = this.retries.delayMillis(request.tries(), refused.retryAfterMillis());
-			if (delayMillis >= 0) {
-				this.world.time().after(delayMillis * VirtualTime.MILLI, () -> send(request.again()));
+			if (delayMillis < 0) {
+				this.world.recorder().gaveUp(request);
+				return;
 			}
+			this.world.time().after(delayMillis * VirtualTime.MILLI, () -> send(request.again()));
 		}
 	}
 
--- a/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
@@ -109,11 +109,6 @@
 		return this.report != null && this.report.loading();
 	}
 
-	// Without reports the link may stall, and the load is unknown.
-	private boolean reportsLately(long nowMillis) {
-		return this.report != null && nowMillis - this.reportReceivedAtMillis < CoreLimits.REPORT_EXPIRY_MILLIS;
-	}
-
 	boolean mayReceive(long nowMillis) {
 		return this.listed && !this.drained && !leaving() && nowMillis >= this.suspendedUntilMillis
 				&& this.phase != ServerPhase.COLD && !loading() && this.suspectSinceMillis == Long.MIN_VALUE
@@ -138,4 +133,9 @@
 		return (prefixHash != 0) ? this.prefixes.getOrDefault(prefixHash, 0.0) : 0;
 	}
 
+	// Without reports the link may stall, and the load is unknown.
+	private boolean reportsLately(long nowMillis) {
+		return this.report != null && nowMillis - this.reportReceivedAtMillis < CoreLimits.REPORT_EXPIRY_MILLIS;
+	}
+
 }
--- a/entry/src/main/java/org/skylarkspring/entry/internal/CompletionExchange.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/CompletionExchange.java
@@ -3,10 +3,8 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 
-import com.google.gson.annotations.SerializedName;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import org.xnio.XnioIoThread;
@@ -332,37 +330,4 @@
 
 	}
 
-	/**
-	 * Body of an answer or of one piece of it, as callers' client libraries read it.
-	 *
-	 * @param id name of the answer
-	 * @param object kind of the object
-	 * @param model name of the service
-	 * @param choices the only choice
-	 * @param usage token counts, {@code null} in pieces
-	 */
-	private record CompletionChunk(String id, String object, String model, List<Choice> choices,
-			Map<String, Integer> usage) {
-
-		private static CompletionChunk piece(String id, String model, String text) {
-			return new CompletionChunk(id, "text_completion", model, List.of(new Choice(0, text, null)), null);
-		}
-
-		private static CompletionChunk whole(String id, String model, String text, int tokens) {
-			return new CompletionChunk(id, "text_completion", model, List.of(new Choice(0, text, "stop")),
-					Map.of("completion_tokens", tokens));
-		}
-
-	}
-
-	/**
-	 * One choice of an answer.
-	 *
-	 * @param index number of the choice
-	 * @param text the text
-	 * @param finishReason why the text ended, {@code null} in pieces
-	 */
-	private record Choice(int index, String text, @SerializedName("finish_reason") String finishReason) {
-	}
-
 }
