Read missing shards again and give a restored store its directives back

Cause, found on reading: a watcher that could not read a shard waited for the next change, up to longer than the 14 s a revision may take; directives were written only when they were issued, so a store that came back older stayed without them; a publication without one of its lists failed inside the instance.

--- a/entry/src/main/java/org/skylarkspring/entry/api/AdminMessages.java
+++ b/entry/src/main/java/org/skylarkspring/entry/api/AdminMessages.java
@@ -21,6 +21,17 @@
 	 * @param expectedRevision revision the content was made from, -1 for any
 	 */
 	public record Publish(Configuration configuration, long expectedRevision) {
+
+		/**
+		 * Returns whether all lists of the configuration are given.
+		 * @return {@code false} if one is missing
+		 */
+		public boolean wellFormed() {
+			return this.configuration != null && this.configuration.services() != null
+					&& this.configuration.pools() != null && this.configuration.workspaces() != null
+					&& this.configuration.dataCentres() != null;
+		}
+
 	}
 
 	/**
--- a/entry/src/main/java/org/skylarkspring/entry/internal/ControlHandler.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/ControlHandler.java
@@ -134,6 +134,10 @@
 	}
 
 	private CompletableFuture<AdminMessages.OrderResult> publish(AdminMessages.Publish order) {
+		if (!order.wellFormed()) {
+			return CompletableFuture.completedFuture(
+					new AdminMessages.OrderResult(Verdict.NOT_RUN.wireName(), 0, "the configuration lacks a list"));
+		}
 		return this.publisher.publish(order.configuration(), order.expectedRevision()).thenApply((result) -> {
 			this.gossip.spread();
 			return new AdminMessages.OrderResult(result.verdict().wireName(), result.revision(), result.message());
--- a/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -86,7 +87,7 @@
 		this.platform.read(DIRECTIVES).thenAccept((result) -> {
 			long version = (result instanceof PlatformResult.Found found) ? found.version() : 0;
 			if (result instanceof PlatformResult.Found || result instanceof PlatformResult.Absent) {
-				take(DIRECTIVES, result);
+				stored(result).ifPresent((list) -> this.state.offer(list.directives()));
 				saveDirectivesOver(version);
 				return;
 			}
@@ -94,6 +95,11 @@
 		});
 	}
 
+	private static Optional<DirectiveList> stored(PlatformResult result) {
+		return (result instanceof PlatformResult.Found found) ? Json.read(found.json(), DirectiveList.class)
+				: Optional.empty();
+	}
+
 	private void saveDirectivesOver(long version) {
 		String value = Json.write(new DirectiveList(this.state.directives()));
 		this.platform.write(DIRECTIVES, version, value).thenAccept((written) -> {
@@ -144,9 +150,7 @@
 			case INSTANCES -> Json.read(found.json(), InstanceRecord[].class)
 				.map((rows) -> this.state.offer(new PeerMessages.InstanceList(found.version(), List.of(rows))))
 				.orElse(false);
-			default -> Json.read(found.json(), DirectiveList.class)
-				.map((list) -> this.state.offer(list.directives()))
-				.orElse(false);
+			default -> Json.read(found.json(), DirectiveList.class).map(this::takeDirectives).orElse(false);
 		};
 		if (news) {
 			this.learned.run();
@@ -162,9 +166,21 @@
 			if (applied) {
 				this.learned.run();
 			}
+			else if (stored.revision() > this.state.revision()) {
+				this.scheduler.schedule(() -> takeManifest(stored, version), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			}
 		});
 	}
 
+	// Directives that the store does not hold, or holds no more, are written again.
+	private boolean takeDirectives(DirectiveList stored) {
+		boolean news = this.state.offer(stored.directives());
+		if (!stored.directives().containsAll(this.state.directives())) {
+			this.scheduler.execute(this::saveDirectives);
+		}
+		return news;
+	}
+
 	private CompletableFuture<Map<String, String>> readShards(List<String> names) {
 		Map<String, String> texts = new ConcurrentHashMap<>();
 		CompletableFuture<?>[] reads = names.stream()
--- a/entry/src/test/java/org/skylarkspring/entry/internal/FakeStore.java
+++ b/entry/src/test/java/org/skylarkspring/entry/internal/FakeStore.java
@@ -36,17 +36,17 @@
 		this.beforeNextWrite = task;
 	}
 
-	void put(String key, String json) {
+	synchronized void put(String key, String json) {
 		this.lastVersion++;
 		this.objects.put(key, new PlatformResult.Found(this.lastVersion, json));
 	}
 
-	String json(String key) {
+	synchronized String json(String key) {
 		return this.objects.get(key).json();
 	}
 
 	@Override
-	public CompletableFuture<PlatformResult> read(String key) {
+	public synchronized CompletableFuture<PlatformResult> read(String key) {
 		return done(this.out ? new PlatformResult.Unavailable() : current(key));
 	}
 
@@ -56,7 +56,7 @@
 	}
 
 	@Override
-	public CompletableFuture<PlatformResult> write(String key, long expectedVersion, String value) {
+	public synchronized CompletableFuture<PlatformResult> write(String key, long expectedVersion, String value) {
 		Runnable interleaved = this.beforeNextWrite;
 		this.beforeNextWrite = () -> {
 		};
