Believe an older list of instances once the store keeps answering so

Cause, found on reading: instances take lists by rising version only. After a store came back older they would have kept the last list until its version was passed, and a leaving server would have received new work. Three older reads in a row are taken now; a single one may be stale.

--- a/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
@@ -39,6 +39,9 @@
 
 	private static final long WATCH_MILLIS = 20_000;
 
+	/** Reads in a row of an older list after which it is taken. */
+	private static final int OLDER_READS_BELIEVED = 3;
+
 	private static final long RETRY_MILLIS = 1_000;
 
 	private static final long OCCASIONAL_READ_MILLIS = 60_000;
@@ -57,6 +60,8 @@
 
 	private final ConfigurationWriter writer;
 
+	private volatile int olderListReads;
+
 	private volatile boolean platformReached = true;
 
 	private volatile boolean stopped;
@@ -148,7 +153,7 @@
 		}
 		boolean news = switch (key) {
 			case INSTANCES -> Json.read(found.json(), InstanceRecord[].class)
-				.map((rows) -> this.state.offer(new PeerMessages.InstanceList(found.version(), List.of(rows))))
+				.map((rows) -> takeList(List.of(rows), found.version()))
 				.orElse(false);
 			default -> Json.read(found.json(), DirectiveList.class).map(this::takeDirectives).orElse(false);
 		};
@@ -157,6 +162,18 @@
 		}
 	}
 
+	// One older read may be stale; a store that keeps answering so has come back older.
+	private boolean takeList(List<InstanceRecord> rows, long version) {
+		long known = this.state.instances().version();
+		this.olderListReads = (version < known) ? this.olderListReads + 1 : 0;
+		if (this.olderListReads < OLDER_READS_BELIEVED) {
+			return this.state.offer(new PeerMessages.InstanceList(version, rows));
+		}
+		this.olderListReads = 0;
+		boolean differs = !rows.equals(this.state.instances().instances());
+		return differs && this.state.offer(new PeerMessages.InstanceList(known + 1, rows));
+	}
+
 	private void takeManifest(ConfigurationManifest stored, long version) {
 		if (stored.revision() < this.state.revision()) {
 			this.state.sharded().ifPresent((held) -> writeBack(held, stored.revision(), version));
--- a/entry/src/test/java/org/skylarkspring/entry/internal/PlatformSyncTests.java
+++ b/entry/src/test/java/org/skylarkspring/entry/internal/PlatformSyncTests.java
@@ -11,6 +11,9 @@
 
 import org.skylarkspring.core.config.Configuration;
 import org.skylarkspring.core.model.Directive;
+import org.skylarkspring.core.model.InstanceRecord;
+import org.skylarkspring.core.model.InstanceRole;
+import org.skylarkspring.core.model.InstanceState;
 import org.skylarkspring.entry.EntrySettings;
 import org.skylarkspring.entry.http.Json;
 
@@ -51,6 +54,11 @@
 			.split(new Configuration(number, "p" + number, List.of(), List.of(), List.of(), List.of()));
 	}
 
+	private static InstanceRecord row(String name) {
+		return new InstanceRecord(name, InstanceRole.BACKEND, "inyigisho", "kigali-a", "127.0.0.1:1",
+				InstanceState.LIVE);
+	}
+
 	private void putShards(ShardedConfiguration sharded) {
 		sharded.shards().forEach((name, json) -> this.store.put(ConfigurationWriter.shardKey(name), json));
 	}
@@ -90,6 +98,17 @@
 			assertThat(PlatformSyncTests.this.state.revision(), is(5L));
 		}
 
+		@Test
+		void isBelievedOnInstancesOnceItKeepsAnsweringSo() {
+			InstanceRecord gone = row("engine-1");
+			InstanceRecord live = row("engine-2");
+			PlatformSyncTests.this.state.offer(new PeerMessages.InstanceList(100, List.of(gone)));
+			PlatformSyncTests.this.store.put(PlatformSync.INSTANCES, Json.write(List.of(live)));
+			PlatformSyncTests.this.sync.start();
+			await(() -> PlatformSyncTests.this.state.instances().instances().equals(List.of(live)));
+			assertThat(PlatformSyncTests.this.state.instances().version(), is(101L));
+		}
+
 		@Test
 		void getsDirectivesBackThatItLacks() {
 			PlatformSyncTests.this.state.issue(Directive.TargetKind.DATA_CENTRE, "kigali-b", true, "entry-2");
--- a/entry/src/test/java/org/skylarkspring/entry/internal/ShardedConfigurationTests.java
+++ b/entry/src/test/java/org/skylarkspring/entry/internal/ShardedConfigurationTests.java
@@ -62,6 +62,20 @@
 
 	}
 
+	@Nested
+	class Offering {
+
+		@Test
+		void neverLowersTheRevisionOfAnInstance() {
+			ControlState state = state();
+			assertThat(state.offer(ShardedConfiguration.split(configuration(2, 1))), is(true));
+			assertThat(state.offer(ShardedConfiguration.split(configuration(1, 5))), is(false));
+			assertThat(state.offer(ShardedConfiguration.split(configuration(2, 5))), is(false));
+			assertThat(state.revision(), is(2L));
+		}
+
+	}
+
 	@Nested
 	class Fetching {
 
