--- a/bench/src/test/java/org/skylarkspring/bench/standin/BadInputTests.java
+++ b/bench/src/test/java/org/skylarkspring/bench/standin/BadInputTests.java
@@ -5,6 +5,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -22,6 +24,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -54,6 +57,10 @@
 		return stack.client.call(call.header("Authorization", "Bearer " + key)).join();
 	}
 
+	private static int port() {
+		return Integer.parseInt(stack.caller.substring(stack.caller.indexOf(':') + 1));
+	}
+
 	private static HttpReply complete(String key, String body) {
 		return post("/v1/completions", key, Map.of(), body);
 	}
@@ -115,8 +122,7 @@
 
 		@Test
 		void refuseSlowSender() throws IOException {
-			int port = Integer.parseInt(stack.caller.substring(stack.caller.indexOf(':') + 1));
-			try (Socket socket = new Socket("127.0.0.1", port)) {
+			try (Socket socket = new Socket("127.0.0.1", port())) {
 				OutputStream output = socket.getOutputStream();
 				output.write(("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + KEY
 						+ "\r\nContent-Length: 100\r\n\r\n{")
@@ -129,6 +135,33 @@
 
 	}
 
+	@Nested
+	class Connections {
+
+		@Test
+		void aboveTheMaximumAreRefusedAndClosed() throws IOException {
+			List<Socket> sockets = new ArrayList<>();
+			String last = "";
+			try {
+				while (!last.startsWith("HTTP/1.1 503") && sockets.size() <= LocalStack.MAXIMUM_CONNECTIONS) {
+					Socket socket = new Socket("127.0.0.1", port());
+					sockets.add(socket);
+					socket.getOutputStream()
+						.write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+					last = new String(socket.getInputStream().readNBytes(12), StandardCharsets.UTF_8);
+				}
+			}
+			finally {
+				for (Socket socket : sockets) {
+					socket.close();
+				}
+			}
+			assertThat(last, startsWith("HTTP/1.1 503"));
+			assertThat(sockets.size(), greaterThan(LocalStack.MAXIMUM_CONNECTIONS / 2));
+		}
+
+	}
+
 	@Nested
 	class PlainCalls {
 
--- a/bench/src/test/java/org/skylarkspring/bench/standin/LocalStack.java
+++ b/bench/src/test/java/org/skylarkspring/bench/standin/LocalStack.java
@@ -39,6 +39,8 @@
 
 	static final String PEER_KEY = "test-peer-key-0000001";
 
+	static final int MAXIMUM_CONNECTIONS = 100;
+
 	private static final long START_TIMEOUT_MILLIS = 60_000;
 
 	private static final long POLL_MILLIS = 20;
@@ -60,7 +62,7 @@
 		this.servers.add(EngineStandIn.start("engine-1", this.engine, EngineProfile.standard(), true, true));
 		this.servers.add(PlainServiceStandIn.start(plain));
 		EntrySettings settings = new EntrySettings("entry-1", "kigali-a", this.caller, this.control, platform,
-				List.of(), PEER_KEY, ADMIN_KEY, "TEXT", 100, 100, bodyTimeoutMillis, 2);
+				List.of(), PEER_KEY, ADMIN_KEY, "TEXT", 100, MAXIMUM_CONNECTIONS, bodyTimeoutMillis, 2);
 		new EntryInstance(settings).start();
 		List<InstanceRecord> rows = List.of(row("entry-1", InstanceRole.ENTRY, "", this.control),
 				row("engine-1", InstanceRole.BACKEND, "inyigisho", this.engine),
--- a/entry/src/main/java/org/skylarkspring/entry/internal/EntryRuntime.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/EntryRuntime.java
@@ -31,6 +31,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger("skylarkspring.state");
 
+	/** Connections accepted above the maximum, so that their requests can be refused. */
+	private static final int SPARE_CONNECTIONS = 256;
+
 	private static final int BUFFER_BYTES = 16 * 1024;
 
 	private static final int REQUEST_HEAD_TIMEOUT_MILLIS = 10_000;
@@ -97,7 +100,8 @@
 		PeerGossip gossip = new PeerGossip(this.settings, this.state, caller, metrics, this.scheduler);
 		this.platformSync = new PlatformSync(this.settings, this.state, platform, this.scheduler, gossip::spread);
 		EntryServices services = new EntryServices(this.settings, this.loop, registry, connections, metrics, directory);
-		this.callers = listen(this.settings.callerAddress(), new CallerHandler(services, this::ready));
+		this.callers = listen(this.settings.callerAddress(),
+				new ConnectionLimit(new CallerHandler(services, this::ready), this.settings.maximumConnections()));
 		this.control = listen(this.settings.controlAddress(), new ControlHandler(services, this.state, gossip,
 				this.platformSync, new Publisher(this.state, platform)));
 		this.loop.start();
@@ -175,8 +179,8 @@
 			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_TIMEOUT_MILLIS)
 			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
 			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-			.setSocketOption(Options.CONNECTION_HIGH_WATER, this.settings.maximumConnections())
-			.setSocketOption(Options.CONNECTION_LOW_WATER, this.settings.maximumConnections())
+			.setSocketOption(Options.CONNECTION_HIGH_WATER, this.settings.maximumConnections() + SPARE_CONNECTIONS)
+			.setSocketOption(Options.CONNECTION_LOW_WATER, this.settings.maximumConnections() + SPARE_CONNECTIONS)
 			.setSocketOption(Options.TCP_NODELAY, true)
 			.setHandler(handler)
 			.build();
