Ask a server once whether it is in service, and compute a promise once a decision

Cause, found on reading the whole change: "listed, not drained, not leaving" stood in five places; the memory promised to a request was computed again for every server of its pool, though it is the same for all; two look-ups of a pool's services were alike; two methods of the bench had no caller.

The time of a decision was not measured again.

--- a/bench/src/main/java/org/skylarkspring/bench/experiment/World.java
+++ b/bench/src/main/java/org/skylarkspring/bench/experiment/World.java
@@ -162,22 +162,6 @@
 		return engines().stream().filter((engine) -> engine.listing().dataCentre().equals(dataCentre)).toList();
 	}
 
-	/**
-	 * Starts another entry instance, which learns of warm engines from its peers.
-	 * @param name name of the instance
-	 * @param dataCentre its data centre
-	 * @return the instance
-	 */
-	public EntryActor startEntry(String name, String dataCentre) {
-		EntryActor entry = addEntry(name, dataCentre);
-		this.entries.stream()
-			.filter((peer) -> peer.alive() && peer != entry)
-			.findFirst()
-			.ifPresent((peer) -> entry.post(new Event.RampsOffered(peer.core().ramps())));
-		publishList();
-		return entry;
-	}
-
 	/** Tells all instances who is live. */
 	public void publishList() {
 		List<InstanceRecord> rows = rows();
--- a/bench/src/main/java/org/skylarkspring/bench/model/EngineProfile.java
+++ b/bench/src/main/java/org/skylarkspring/bench/model/EngineProfile.java
@@ -26,16 +26,4 @@
 		return new EngineProfile(18, 0.9, 0.02, 64, 2_048, 2_600, 16, 8, 30_000, 0.05);
 	}
 
-	/**
-	 * Returns the same profile with other steps.
-	 * @param newBaseStepMillis duration of a step without sequences
-	 * @param newPerSequenceMillis additional duration for each sequence
-	 * @return a new profile
-	 */
-	public EngineProfile withSteps(double newBaseStepMillis, double newPerSequenceMillis) {
-		return new EngineProfile(newBaseStepMillis, newPerSequenceMillis, this.perPrefillTokenMillis, this.maximumBatch,
-				this.maximumPrefillTokens, this.totalBlocks, this.blockTokens, this.coldBatch, this.warmupMillis,
-				this.cacheEventLossRatio);
-	}
-
 }
--- a/core/src/main/java/org/skylarkspring/core/internal/AttemptSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/AttemptSystem.java
@@ -129,7 +129,7 @@
 	// A generation without a token on a server that is going away runs elsewhere.
 	private boolean shouldMove(AttemptEntry attempt) {
 		RequestEntry request = attempt.request;
-		boolean going = attempt.server.leaving() || attempt.server.drained || !attempt.server.listed;
+		boolean going = !attempt.server.inService();
 		boolean untouched = attempt.outputTokens == 0 && request.spec.repeatable();
 		return going && untouched && request.attempts < CoreLimits.MAXIMUM_ATTEMPTS
 				&& request.service.kind() == ServiceKind.GENERATION && this.placement.choose(request).isPresent();
--- a/core/src/main/java/org/skylarkspring/core/internal/LoadSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/LoadSystem.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.core.internal;
 
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.skylarkspring.core.config.PoolPolicy;
 import org.skylarkspring.core.config.ServicePolicy;
@@ -178,13 +179,7 @@
 	}
 
 	private double betweenTokensTargetMillis(ServerEntry server) {
-		return this.context.configuration()
-			.stream()
-			.flatMap((configuration) -> configuration.services().stream())
-			.filter((service) -> service.pool().equals(server.listing.pool()))
-			.mapToLong(ServicePolicy::betweenTokensTargetMillis)
-			.min()
-			.orElse(Long.MAX_VALUE);
+		return servicesOf(server).mapToLong(ServicePolicy::betweenTokensTargetMillis).min().orElse(Long.MAX_VALUE);
 	}
 
 	private void forecast(ServerEntry server) {
@@ -204,14 +199,17 @@
 	}
 
 	private double othersGrowthTokens(ServerEntry server) {
-		return this.context.configuration()
-			.stream()
-			.flatMap((configuration) -> configuration.services().stream())
-			.filter((service) -> service.pool().equals(server.listing.pool()))
-			.findFirst()
+		return servicesOf(server).findFirst()
 			.map((service) -> this.context.lengths.service(service.name()).quantileRemaining(0, this.quantile))
 			.map((tokens) -> this.context.policy.promise().promisedTokens(tokens, tokens, tokens))
 			.orElse(0.0);
 	}
 
+	private Stream<ServicePolicy> servicesOf(ServerEntry server) {
+		return this.context.configuration()
+			.stream()
+			.flatMap((configuration) -> configuration.services().stream())
+			.filter((service) -> service.pool().equals(server.listing.pool()));
+	}
+
 }
--- a/core/src/main/java/org/skylarkspring/core/internal/MembershipSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/MembershipSystem.java
@@ -151,7 +151,7 @@
 	private void selectOfPool(String pool) {
 		this.context.servers.pool(pool)
 			.stream()
-			.filter((server) -> server.listed && !server.drained && !server.leaving())
+			.filter(ServerEntry::inService)
 			.sorted(Comparator.comparingInt(this::distance).thenComparingLong(this::spread))
 			.limit(SELECTED_SERVERS_PER_POOL)
 			.forEach((server) -> this.selected.add(server.serverId));
--- a/core/src/main/java/org/skylarkspring/core/internal/OrderSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/OrderSystem.java
@@ -98,7 +98,7 @@
 	}
 
 	private boolean mayServe(ServerEntry server) {
-		return !server.drained && !server.leaving() && server.phase == ServerPhase.WARM;
+		return server.inService() && server.phase == ServerPhase.WARM;
 	}
 
 	private boolean outdated(ServerEntry server, PoolPolicy pool) {
--- a/core/src/main/java/org/skylarkspring/core/internal/PlacementSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/PlacementSystem.java
@@ -95,12 +95,13 @@
 	 * @return the server, empty if none admits it now
 	 */
 	Optional<ServerEntry> choose(RequestEntry request) {
+		double tokens = request.spec.promptTokens() + this.loads.promisedTokens(request, 0);
 		return this.context.servers.pool(request.service.pool())
 			.stream()
 			.filter((server) -> server.mayReceive(this.context.nowMillis))
 			.filter((server) -> !request.triedServers.contains(server.serverId))
 			.filter((server) -> server.attempts.size() < this.ramps.ownLimit(server))
-			.map((server) -> new Candidate(server, view(server, request)))
+			.map((server) -> new Candidate(server, view(server, request, tokens)))
 			.filter((candidate) -> this.context.policy.admission().admits(candidate.view()))
 			.map((candidate) -> new Ranked(candidate.server(), cost(candidate.view())))
 			.min(Comparator.comparingDouble(Ranked::cost))
@@ -112,10 +113,9 @@
 		return this.context.policy.cost().cost(view) + ((jitter > 0) ? jitter * this.context.random.nextDouble() : 0);
 	}
 
-	private PlacementView view(ServerEntry server, RequestEntry request) {
+	private PlacementView view(ServerEntry server, RequestEntry request, double tokens) {
 		int totalBlocks = server.report().map((report) -> report.totalBlocks()).orElse(0);
 		int blockTokens = server.report().map((report) -> report.blockTokens()).orElse(0);
-		double tokens = request.spec.promptTokens() + this.loads.promisedTokens(request, 0);
 		double limit = Math.min(server.concurrencyLimit, this.ramps.totalLimit(server));
 		return new PlacementView(server.attempts.size(), server.projectedRunning(), Math.max(1, limit),
 				server.projectedBlocks(), (blockTokens > 0) ? tokens / blockTokens : 0, totalBlocks,
@@ -127,7 +127,7 @@
 
 	// Refuses everything that waits if no server of the pool could ever take it.
 	private void refuseWithoutServers(FairQueue waiting, RequestEntry request) {
-		boolean hopeless = this.context.servers.pool(request.service.pool()).stream().noneMatch(this::mayReturn);
+		boolean hopeless = this.context.servers.pool(request.service.pool()).stream().noneMatch(ServerEntry::inService);
 		if (hopeless) {
 			waiting.removeIf((any) -> true).forEach((refused) -> this.queue.refuse(refused, RefusalCode.NO_CAPACITY));
 			return;
@@ -139,10 +139,6 @@
 		}
 	}
 
-	private boolean mayReturn(ServerEntry server) {
-		return server.listed && !server.drained && !server.leaving();
-	}
-
 	private record Candidate(ServerEntry server, PlacementView view) {
 	}
 
--- a/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/ServerEntry.java
@@ -109,10 +109,17 @@
 		return this.report != null && this.report.loading();
 	}
 
+	/**
+	 * Returns whether neither the platform nor an operator takes the server out.
+	 * @return {@code false} if the server must get no new work, whatever its load
+	 */
+	boolean inService() {
+		return this.listed && !this.drained && !leaving();
+	}
+
 	boolean mayReceive(long nowMillis) {
-		return this.listed && !this.drained && !leaving() && nowMillis >= this.suspendedUntilMillis
-				&& this.phase != ServerPhase.COLD && !loading() && this.suspectSinceMillis == Long.MIN_VALUE
-				&& reportsLately(nowMillis);
+		return inService() && nowMillis >= this.suspendedUntilMillis && this.phase != ServerPhase.COLD && !loading()
+				&& this.suspectSinceMillis == Long.MIN_VALUE && reportsLately(nowMillis);
 	}
 
 	/**
--- a/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PlatformSync.java
@@ -155,7 +155,7 @@
 			case INSTANCES -> Json.read(found.json(), InstanceRecord[].class)
 				.map((rows) -> takeList(List.of(rows), found.version()))
 				.orElse(false);
-			default -> Json.read(found.json(), DirectiveList.class).map(this::takeDirectives).orElse(false);
+			default -> stored(found).map(this::takeDirectives).orElse(false);
 		};
 		if (news) {
 			this.learned.run();
