--- a/core/src/main/java/org/skylarkspring/core/internal/Rendezvous.java
+++ b/core/src/main/java/org/skylarkspring/core/hash/RendezvousHash.java
@@ -1,16 +1,22 @@
-package org.skylarkspring.core.internal;
+package org.skylarkspring.core.hash;
 
 /**
  * Rendezvous hashing: each pair of names has a fixed pseudo-random score.
  */
-final class Rendezvous {
+public final class RendezvousHash {
 
 	private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
 
-	private Rendezvous() {
+	private RendezvousHash() {
 	}
 
-	static long score(String first, String second) {
+	/**
+	 * Returns the score of a pair of names.
+	 * @param first the first name
+	 * @param second the second name
+	 * @return the score, evenly spread over all values
+	 */
+	public static long score(String first, String second) {
 		long hash = ((long) first.hashCode() << 32) ^ second.hashCode();
 		hash = (hash ^ (hash >>> 30)) * 0xBF58476D1CE4E5B9L;
 		hash = (hash ^ (hash >>> 27)) * 0x94D049BB133111EBL;
--- /dev/null
+++ b/core/src/main/java/org/skylarkspring/core/hash/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Hashing shared by the modules.
+ */
+package org.skylarkspring.core.hash;
--- a/core/src/main/java/org/skylarkspring/core/internal/MembershipSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/MembershipSystem.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 
 import org.skylarkspring.core.config.DataCentrePolicy;
+import org.skylarkspring.core.hash.RendezvousHash;
 import org.skylarkspring.core.model.Directive;
 import org.skylarkspring.core.model.InstanceRecord;
 import org.skylarkspring.core.model.InstanceRole;
@@ -169,7 +170,7 @@
 	}
 
 	private long spread(ServerEntry server) {
-		return Rendezvous.score(server.serverId, this.context.instanceId);
+		return RendezvousHash.score(server.serverId, this.context.instanceId);
 	}
 
 }
--- a/core/src/main/java/org/skylarkspring/core/internal/OrderSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/OrderSystem.java
@@ -9,6 +9,7 @@
 import org.skylarkspring.core.action.Action;
 import org.skylarkspring.core.config.Configuration;
 import org.skylarkspring.core.config.PoolPolicy;
+import org.skylarkspring.core.hash.RendezvousHash;
 import org.skylarkspring.core.model.InstanceRecord;
 
 /**
@@ -115,7 +116,7 @@
 	private boolean candidate(PoolPolicy pool) {
 		List<String> order = this.context.entryInstances.stream()
 			.map(InstanceRecord::instanceId)
-			.sorted(Comparator.comparingLong((instance) -> Rendezvous.score(pool.name(), instance)))
+			.sorted(Comparator.comparingLong((instance) -> RendezvousHash.score(pool.name(), instance)))
 			.limit(CANDIDATES)
 			.toList();
 		return order.isEmpty() || order.contains(this.context.instanceId);
--- a/core/src/main/java/org/skylarkspring/core/internal/RampSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/RampSystem.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 
 import org.skylarkspring.core.config.PoolPolicy;
+import org.skylarkspring.core.hash.RendezvousHash;
 import org.skylarkspring.core.model.InstanceRecord;
 import org.skylarkspring.core.model.LoadReport;
 import org.skylarkspring.core.model.RampRecord;
@@ -244,7 +245,7 @@
 	private List<String> rankCandidates(ServerEntry server, int seats) {
 		return this.context.entryInstances.stream()
 			.sorted(Comparator.comparing((InstanceRecord instance) -> !sameDataCentre(instance, server))
-				.thenComparingLong((instance) -> Rendezvous.score(server.serverId, instance.instanceId())))
+				.thenComparingLong((instance) -> RendezvousHash.score(server.serverId, instance.instanceId())))
 			.map(InstanceRecord::instanceId)
 			.limit(seats)
 			.toList();
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/CallOutcome.java
@@ -0,0 +1,14 @@
+package org.skylarkspring.gateway.http;
+
+/**
+ * What is known of a call that failed.
+ */
+public enum CallOutcome {
+
+	/** No byte of the call left this process. */
+	NOT_SENT,
+
+	/** The call may have been received and acted on. */
+	UNKNOWN
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
@@ -0,0 +1,211 @@
+package org.skylarkspring.gateway.internal;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.skylarkspring.gateway.http.TextResult;
+import org.skylarkspring.gateway.model.EngineSpec;
+import org.skylarkspring.gateway.model.MoveResult;
+
+/**
+ * Carries running generations from servers that leave to others, within the same answer:
+ * the memory is copied while the generation runs, then it is stopped, the rest is copied,
+ * and the target goes on from the last event delivered.
+ */
+final class CarryOverSystem {
+
+	private static final long COPY_TIMEOUT_MILLIS = 3_000;
+
+	/** Pause before another target is looked for. */
+	private static final long RETRY_MILLIS = 100;
+
+	/** Time in which the stopped source's stream ends, well above a round trip. */
+	private static final long SOURCE_END_MILLIS = 60;
+
+	private static final int MAXIMUM_ROUNDS = 4;
+
+	private static final int BAD_GATEWAY = 502;
+
+	private final GatewayContext context;
+
+	private final CallFlow flow;
+
+	private final Placer placer;
+
+	CarryOverSystem(GatewayContext context, CallFlow flow, Placer placer) {
+		this.context = context;
+		this.flow = flow;
+		this.placer = placer;
+	}
+
+	/**
+	 * Carries over what runs on a server that leaves.
+	 * @param entry the server
+	 */
+	void serverLeaves(ServerEntry entry) {
+		this.context.log.change("server leaves",
+				Map.of("server", entry.listing.id(), "removed", entry.removed, "running", entry.attempts.size()));
+		List.copyOf(entry.attempts).forEach(this::begin);
+	}
+
+	/**
+	 * Starts to carry a generation over if its server leaves and it can be carried.
+	 * @param attempt the attempt that runs it
+	 */
+	void begin(ServerAttempt attempt) {
+		Call call = attempt.call;
+		boolean movable = call.route.kind().streamed() && call.service.engine().map(EngineSpec::moves).orElse(false);
+		if (!movable || call.finished || call.attempt != attempt || under(call)) {
+			return;
+		}
+		call.carryOver = new CarryOver(attempt, this.context.time.nowMillis());
+		copy(call);
+	}
+
+	private boolean under(Call call) {
+		return call.carryOver != null && call.carryOver.stage != CarryOver.Stage.CONTINUED
+				&& call.carryOver.stage != CarryOver.Stage.GIVEN_UP;
+	}
+
+	private void copy(Call call) {
+		CarryOver carry = call.carryOver;
+		if (call.finished || call.attempt != carry.source || carry.rounds >= MAXIMUM_ROUNDS) {
+			carry.stage = CarryOver.Stage.GIVEN_UP;
+			return;
+		}
+		carry.rounds++;
+		Optional<ServerEntry> target = this.placer.chooseTarget(call.service, call.promisedTokens, carry.source.entry,
+				carry.refusedBy);
+		if (target.isEmpty()) {
+			this.context.time.after(RETRY_MILLIS, () -> copy(call));
+			return;
+		}
+		carry.reserve(target.get(), call.promisedTokens);
+		carry.stage = CarryOver.Stage.COPYING;
+		move(call, false);
+	}
+
+	private void move(Call call, boolean last) {
+		CarryOver carry = call.carryOver;
+		long started = this.context.time.nowMillis();
+		this.context.client.call(carry.source.entry.listing.address(),
+				this.context.servers.move(call.id(), carry.target.listing.address(), last), COPY_TIMEOUT_MILLIS,
+				(result) -> moved(call, carry, last, result, started));
+	}
+
+	private void moved(Call call, CarryOver carry, boolean last, TextResult text, long started) {
+		MoveResult result = this.context.servers.moved(text);
+		this.context.log.request(call.id(), last ? "last part copied" : "memory copied",
+				Map.of("result", String.valueOf(result), "source", carry.source.entry.listing.id(), "target",
+						carry.target.listing.id(), "millis", this.context.time.nowMillis() - started));
+		if (call.finished || call.carryOver != carry || carry.stage == CarryOver.Stage.CONTINUED) {
+			return;
+		}
+		if (result instanceof MoveResult.Copied copy) {
+			carry.handle = copy.handle();
+			carry.copied = true;
+			if (last) {
+				carry.stage = CarryOver.Stage.CONTINUED;
+				afterSourceEnds(call);
+			}
+			else if (call.attempt == carry.source) {
+				carry.stage = CarryOver.Stage.STOPPING;
+				move(call, true);
+			}
+			return;
+		}
+		notCopied(call, carry, last);
+	}
+
+	private void notCopied(Call call, CarryOver carry, boolean last) {
+		carry.release();
+		carry.refusedBy.add(carry.target.listing.id());
+		if (last || call.attempt != carry.source) {
+			carry.stage = CarryOver.Stage.GIVEN_UP;
+			if (carry.sourceEnded) {
+				this.flow.cut(call, "generation stopped but not copied");
+			}
+			return;
+		}
+		carry.stage = CarryOver.Stage.WAITING;
+		this.context.time.after(RETRY_MILLIS, () -> copy(call));
+	}
+
+	private void afterSourceEnds(Call call) {
+		CarryOver carry = call.carryOver;
+		if (carry.sourceEnded) {
+			goOn(call);
+			return;
+		}
+		this.context.time.after(SOURCE_END_MILLIS, () -> {
+			if (!call.finished && call.attempt == carry.source) {
+				carry.source.cancel();
+				this.flow.detach(carry.source);
+				goOn(call);
+			}
+		});
+	}
+
+	/**
+	 * Takes over a generation whose source has ended or broken.
+	 * @param attempt the attempt that broke
+	 * @return whether the call goes on here
+	 */
+	boolean takesOver(ServerAttempt attempt) {
+		Call call = attempt.call;
+		CarryOver carry = call.carryOver;
+		if (carry == null || carry.source != attempt || carry.stage == CarryOver.Stage.GIVEN_UP
+				|| carry.stage == CarryOver.Stage.WAITING) {
+			return false;
+		}
+		carry.sourceEnded = true;
+		if (carry.stage == CarryOver.Stage.CONTINUED || (carry.stage == CarryOver.Stage.COPYING && carry.copied)) {
+			goOn(call);
+			return true;
+		}
+		return carry.stage == CarryOver.Stage.STOPPING;
+	}
+
+	private void goOn(Call call) {
+		CarryOver carry = call.carryOver;
+		if (call.finished || call.attempt != null) {
+			return;
+		}
+		carry.stage = CarryOver.Stage.CONTINUED;
+		carry.release();
+		this.context.log.request(call.id(), "continued elsewhere",
+				Map.of("source", carry.source.entry.listing.id(), "target", carry.target.listing.id(), "last-event",
+						call.order.lastId().orElse(""), "millis-since-notice",
+						this.context.time.nowMillis() - carry.startedMillis, "millis-since-event",
+						(call.lastEventMillis < 0) ? -1 : this.context.time.nowMillis() - call.lastEventMillis));
+		this.context.metrics.decision("generation carried over");
+		this.flow.send(call, carry.target, carry.continuation(call.order.lastId()));
+	}
+
+	/**
+	 * The target refused to go on.
+	 * @param call the call
+	 * @param reason what it said
+	 */
+	void continuationRefused(Call call, String reason) {
+		if (call.committed()) {
+			this.flow.cut(call, "continuation refused: " + reason);
+		}
+		else {
+			this.flow.fail(call, BAD_GATEWAY, "continuation refused: " + reason);
+		}
+	}
+
+	/**
+	 * A call has ended; copies of it are no longer needed.
+	 * @param call the call
+	 */
+	void ended(Call call) {
+		CarryOver carry = call.carryOver;
+		if (carry != null) {
+			carry.release();
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Connections.java
@@ -0,0 +1,40 @@
+package org.skylarkspring.gateway.internal;
+
+import java.util.List;
+import java.util.Locale;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+/**
+ * Rules of HTTP about headers that concern one connection only.
+ */
+final class Connections {
+
+	private static final List<HttpString> CONNECTION_HEADERS = List.of(Headers.CONNECTION, new HttpString("Keep-Alive"),
+			new HttpString("Proxy-Connection"), Headers.TE, Headers.TRAILER, Headers.TRANSFER_ENCODING, Headers.UPGRADE,
+			Headers.EXPECT);
+
+	private Connections() {
+	}
+
+	/**
+	 * Removes the headers that concern one connection only, also those named as such.
+	 * @param headers the headers
+	 */
+	static void withoutConnectionHeaders(HeaderMap headers) {
+		HeaderValues named = headers.get(Headers.CONNECTION);
+		if (named != null) {
+			List.copyOf(named)
+				.stream()
+				.flatMap((value) -> List.of(value.split(",")).stream())
+				.map((name) -> name.trim().toLowerCase(Locale.ROOT))
+				.filter((name) -> !name.isEmpty())
+				.forEach(headers::remove);
+		}
+		CONNECTION_HEADERS.forEach(headers::remove);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -0,0 +1,152 @@
+package org.skylarkspring.gateway.internal;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonSyntaxException;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+
+import org.skylarkspring.gateway.http.TextRequest;
+import org.skylarkspring.gateway.model.ObjectChange;
+import org.skylarkspring.gateway.model.ObjectKind;
+import org.skylarkspring.gateway.model.StoreResult;
+import org.skylarkspring.gateway.model.StoredObject;
+import org.skylarkspring.gateway.port.ObjectStore;
+
+/**
+ * Makes instances known to each other through the store and tells the peers what this
+ * instance has placed on each server.
+ */
+final class PeerExchange implements KindWatch.Listener {
+
+	static final String PATH = "/peer-load";
+
+	/** Several times in the life of a short generation. */
+	private static final long INTERVAL_MILLIS = 250;
+
+	private static final long WRITE_RETRY_MILLIS = 1_000;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int NO_CONTENT = 204;
+
+	private final Gson gson = new Gson();
+
+	private final GatewayContext context;
+
+	private final ObjectStore store;
+
+	private final PeerTable peers;
+
+	private final ServerTable servers;
+
+	private long sequence;
+
+	PeerExchange(GatewayContext context, ObjectStore store, PeerTable peers, ServerTable servers) {
+		this.context = context;
+		this.store = store;
+		this.peers = peers;
+		this.servers = servers;
+	}
+
+	void start() {
+		announce();
+		tell();
+	}
+
+	/** Removes this instance from the list of instances. */
+	void leave() {
+		this.store.remove(ObjectKind.INSTANCES, this.context.settings.instanceId(), (result) -> this.context.log
+			.change("instance removed from the list", Map.of("result", result.getClass().getSimpleName())));
+	}
+
+	@Override
+	public void listed(List<StoredObject> all, boolean afterOutage) {
+		this.peers.all().keySet().retainAll(all.stream().map(StoredObject::name).toList());
+		all.forEach(this::put);
+	}
+
+	@Override
+	public void changed(ObjectChange change) {
+		if (change.deleted()) {
+			this.peers.all().remove(change.object().name());
+		}
+		else {
+			put(change.object());
+		}
+	}
+
+	void receive(HttpServerExchange exchange) {
+		exchange.getRequestReceiver().receiveFullString((received, text) -> {
+			received.setStatusCode(take(text) ? NO_CONTENT : BAD_REQUEST);
+			received.endExchange();
+		});
+	}
+
+	private boolean take(String text) {
+		try {
+			PeerLoad load = this.gson.fromJson(text, PeerLoad.class);
+			if (load == null || load.instanceId() == null || load.loads() == null) {
+				return false;
+			}
+			PeerTable.PeerEntry peer = this.peers.all().get(load.instanceId());
+			if (peer != null) {
+				peer.loads = load.loads();
+				peer.heardMillis = this.context.time.nowMillis();
+			}
+			return true;
+		}
+		catch (JsonSyntaxException ex) {
+			this.context.log.change("message of a peer can't be read", Map.of("reason", String.valueOf(ex)));
+			return false;
+		}
+	}
+
+	private void announce() {
+		JsonObject content = new JsonObject();
+		content.addProperty("peerAddress", this.context.settings.peerAddress());
+		this.store.write(ObjectKind.INSTANCES, this.context.settings.instanceId(), content.toString(), (result) -> {
+			if (!(result instanceof StoreResult.Written)) {
+				this.context.log.change("instance not announced", Map.of("result", String.valueOf(result)));
+				this.context.time.after(WRITE_RETRY_MILLIS, this::announce);
+			}
+		});
+	}
+
+	private void put(StoredObject object) {
+		if (object.name().equals(this.context.settings.instanceId())) {
+			return;
+		}
+		Optional.ofNullable(object.content().get("peerAddress"))
+			.filter(JsonElement::isJsonPrimitive)
+			.map(JsonElement::getAsString)
+			.ifPresent((address) -> {
+				PeerTable.PeerEntry known = this.peers.all().get(object.name());
+				if (known == null || !known.address.equals(address)) {
+					this.peers.all().put(object.name(), new PeerTable.PeerEntry(address));
+				}
+			});
+	}
+
+	private void tell() {
+		this.sequence++;
+		List<PeerLoad.ServerLoad> loads = this.servers.all()
+			.stream()
+			.filter((entry) -> !entry.attempts.isEmpty())
+			.map((entry) -> new PeerLoad.ServerLoad(entry.listing.id(), entry.attempts.size(), entry.promisedTokens))
+			.toList();
+		String text = this.gson.toJson(new PeerLoad(this.context.settings.instanceId(), this.sequence, loads));
+		TextRequest request = new TextRequest(Methods.POST, PATH, Optional.of(text));
+		this.peers.all()
+			.values()
+			.forEach((peer) -> this.context.client.call(peer.address, request, INTERVAL_MILLIS * 2,
+					(result) -> this.context.metrics.decision("peer told")));
+		this.context.time.after(INTERVAL_MILLIS, this::tell);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
@@ -0,0 +1,24 @@
+package org.skylarkspring.gateway.internal;
+
+import java.util.List;
+
+/**
+ * What an instance tells its peers of the requests it has placed.
+ *
+ * @param instanceId name of the instance
+ * @param sequence number of the message, rising
+ * @param loads load placed on each server
+ */
+record PeerLoad(String instanceId, long sequence, List<ServerLoad> loads) {
+
+	/**
+	 * Load that one instance has placed on a server.
+	 *
+	 * @param serverId name of the server
+	 * @param running number of requests
+	 * @param promisedTokens memory promised to them
+	 */
+	record ServerLoad(String serverId, int running, long promisedTokens) {
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Request handling and state of a gateway process.
+ */
+package org.skylarkspring.gateway.internal;
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/CallKind.java
@@ -0,0 +1,45 @@
+package org.skylarkspring.gateway.model;
+
+/**
+ * Says how often a request may run and whether its answer is a stream.
+ */
+public enum CallKind {
+
+	/** May run any number of times. */
+	IDEMPOTENT(false, true),
+
+	/** May run once at most. */
+	AT_MOST_ONCE(false, false),
+
+	/** Answered by a stream of events; may run once at most. */
+	STREAM(true, false),
+
+	/** Answered by a stream that another server may continue after a given event. */
+	RESUMABLE_STREAM(true, true);
+
+	private final boolean streamed;
+
+	private final boolean repeatable;
+
+	CallKind(boolean streamed, boolean repeatable) {
+		this.streamed = streamed;
+		this.repeatable = repeatable;
+	}
+
+	/**
+	 * Returns whether the answer is a stream of events.
+	 * @return {@code true} for streams
+	 */
+	public boolean streamed() {
+		return this.streamed;
+	}
+
+	/**
+	 * Returns whether a request that may have run may be sent again.
+	 * @return {@code true} if it may
+	 */
+	public boolean repeatable() {
+		return this.repeatable;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/ObjectChange.java
@@ -0,0 +1,10 @@
+package org.skylarkspring.gateway.model;
+
+/**
+ * A change of an object of the store.
+ *
+ * @param object the object after the change
+ * @param deleted whether the object was removed
+ */
+public record ObjectChange(StoredObject object, boolean deleted) {
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/EventSplitter.java
@@ -0,0 +1,88 @@
+package org.skylarkspring.gateway.policy;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Splits a stream of bytes into whole events. An event ends with an empty line; what
+ * follows the last empty line is kept until it is complete.
+ */
+public final class EventSplitter {
+
+	/** Longest event taken, so that a faulty server can't fill the memory. */
+	private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
+	private static final int INITIAL_BYTES = 1024;
+
+	private byte[] buffer = new byte[INITIAL_BYTES];
+
+	private int length;
+
+	/**
+	 * Takes bytes.
+	 * @param data the bytes, all are consumed
+	 * @param whole receives each event that is complete
+	 * @return {@code false} if an event is larger than any event should be
+	 */
+	public boolean accept(ByteBuffer data, Consumer<StreamEvent> whole) {
+		int count = data.remaining();
+		if (this.length + count > MAXIMUM_EVENT_BYTES) {
+			return false;
+		}
+		if (this.length + count > this.buffer.length) {
+			this.buffer = Arrays.copyOf(this.buffer, Math.max(this.buffer.length * 2, this.length + count));
+		}
+		data.get(this.buffer, this.length, count);
+		this.length += count;
+		split(whole);
+		return true;
+	}
+
+	/**
+	 * Returns what has arrived of an event that isn't complete.
+	 * @return the bytes, may be empty
+	 */
+	public byte[] rest() {
+		return Arrays.copyOf(this.buffer, this.length);
+	}
+
+	/** Forgets what has arrived of an event that isn't complete. */
+	public void discardRest() {
+		this.length = 0;
+	}
+
+	private void split(Consumer<StreamEvent> whole) {
+		int start = 0;
+		int position = 1;
+		while (position < this.length) {
+			if (endsLine(position) && (this.buffer[position - 1] == '\n' || blankLineWithReturn(position, start))) {
+				byte[] bytes = Arrays.copyOfRange(this.buffer, start, position + 1);
+				whole.accept(new StreamEvent(bytes, id(bytes)));
+				start = position + 1;
+				position = start;
+			}
+			position++;
+		}
+		System.arraycopy(this.buffer, start, this.buffer, 0, this.length - start);
+		this.length -= start;
+	}
+
+	private boolean endsLine(int position) {
+		return this.buffer[position] == '\n';
+	}
+
+	private boolean blankLineWithReturn(int position, int start) {
+		return position - 2 >= start && this.buffer[position - 1] == '\r' && this.buffer[position - 2] == '\n';
+	}
+
+	private static Optional<String> id(byte[] event) {
+		return new String(event, StandardCharsets.ISO_8859_1).lines()
+			.filter((line) -> line.startsWith("id:"))
+			.map((line) -> line.substring("id:".length()).trim())
+			.findFirst();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/PlacementCosts.java
@@ -0,0 +1,39 @@
+package org.skylarkspring.gateway.policy;
+
+/**
+ * The ways to rank servers.
+ */
+public final class PlacementCosts {
+
+	/** Crossing between data centres costs bytes and a little time. */
+	private static final double OTHER_DATA_CENTRE = 0.03;
+
+	/**
+	 * Failures that a service's own errors explain don't count against a server.
+	 */
+	private static final double USUAL_FAILURE_RATE = 0.25;
+
+	private static final double FAILURE_WEIGHT = 4;
+
+	/** Above any other cost: taken only if there is no other server. */
+	private static final double SUSPENDED = 1_000;
+
+	private PlacementCosts() {
+	}
+
+	/**
+	 * Ranks by the share of memory or slots in use after placing, whichever is larger.
+	 * @return the ranking
+	 */
+	public static PlacementCost leastLoaded() {
+		return (candidate, requestTokens) -> {
+			double slots = (candidate.running() + 1.0) / Math.max(1, candidate.slots());
+			double memory = (candidate.memoryTokens() > 0)
+					? (double) (candidate.promisedTokens() + requestTokens) / candidate.memoryTokens() : 0;
+			double failures = FAILURE_WEIGHT * Math.max(0, candidate.failureRate() - USUAL_FAILURE_RATE);
+			return Math.max(slots, memory) + failures + (candidate.sameDataCentre() ? 0 : OTHER_DATA_CENTRE)
+					+ (candidate.suspended() ? SUSPENDED : 0);
+		};
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/RetryBudget.java
@@ -0,0 +1,65 @@
+package org.skylarkspring.gateway.policy;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * This instance's share of the arrivals that a service may get beyond the first of each
+ * request, in any window of a given length.
+ */
+public final class RetryBudget {
+
+	private final long windowMillis;
+
+	private final double ratio;
+
+	private final double extra;
+
+	private final Deque<Long> requests = new ArrayDeque<>();
+
+	private final Deque<Long> repeats = new ArrayDeque<>();
+
+	/**
+	 * Creates a budget.
+	 * @param windowMillis length of the window
+	 * @param ratio repeats allowed for each request in the window
+	 * @param extra repeats allowed besides, for all instances together
+	 */
+	public RetryBudget(long windowMillis, double ratio, double extra) {
+		this.windowMillis = windowMillis;
+		this.ratio = ratio;
+		this.extra = extra;
+	}
+
+	/**
+	 * Counts a request.
+	 * @param nowMillis time of its arrival
+	 */
+	public void requested(long nowMillis) {
+		this.requests.addLast(nowMillis);
+	}
+
+	/**
+	 * Takes a repeat from the budget if there is one left.
+	 * @param nowMillis time of the repeat
+	 * @param instances number of instances that share the budget, at least 1
+	 * @return whether the repeat may be sent
+	 */
+	public boolean tryRepeat(long nowMillis, int instances) {
+		forget(this.requests, nowMillis);
+		forget(this.repeats, nowMillis);
+		double allowed = this.ratio * this.requests.size() + this.extra / instances;
+		if (this.repeats.size() + 1 > allowed) {
+			return false;
+		}
+		this.repeats.addLast(nowMillis);
+		return true;
+	}
+
+	private void forget(Deque<Long> times, long nowMillis) {
+		while (!times.isEmpty() && times.peekFirst() < nowMillis - this.windowMillis) {
+			times.removeFirst();
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/SuspensionDetector.java
@@ -0,0 +1,34 @@
+package org.skylarkspring.gateway.policy;
+
+/**
+ * Notices that the process was suspended. The steady clock stands still while a machine
+ * is suspended and the time of day goes on, so a growing distance between the two means
+ * that ages measured by the steady clock are too small. A step of the time of day looks
+ * the same and is treated the same.
+ */
+public final class SuspensionDetector {
+
+	/** Distance that scheduling delays between two clock readings can't explain. */
+	private static final long TOLERANCE_MILLIS = 100;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private long offsetMillis;
+
+	private boolean started;
+
+	/**
+	 * Compares the clocks.
+	 * @param steadyNanos reading of the steady clock
+	 * @param epochMillis reading of the time of day, taken right after
+	 * @return {@code true} if ages measured across this moment can't be trusted
+	 */
+	public boolean observe(long steadyNanos, long epochMillis) {
+		long offset = epochMillis - steadyNanos / NANOS_PER_MILLI;
+		boolean jumped = this.started && Math.abs(offset - this.offsetMillis) > TOLERANCE_MILLIS;
+		this.started = true;
+		this.offsetMillis = offset;
+		return jumped;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions of the gateway, free of sockets, threads and clocks.
+ */
+package org.skylarkspring.gateway.policy;
