Copy a generation again until the link is free, then stop it

Cause: all instances copy the generations of a leaving server at once; the last copy queued behind the first copies of the others, so 15 of 86 drafts paused for 160 to 1,136 ms. A short copy shows that the queue is empty: only then is the generation stopped.

Ruled out: reports of the leaving server to agree on an order (one call each, older than the copies themselves).

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
@@ -25,6 +25,18 @@
 
 	private static final int MAXIMUM_ROUNDS = 4;
 
+	/**
+	 * Share of the longest pause that is on time which the last copy may take; the rest
+	 * is for the way to the target and its first event.
+	 */
+	private static final double LAST_COPY_SHARE_OF_GAP = 0.4;
+
+	/**
+	 * Time after the notice at which the generation is stopped in any case, two thirds of
+	 * the shortest notice.
+	 */
+	private static final long STOP_AFTER_NOTICE_MILLIS = 1_000;
+
 	private static final int BAD_GATEWAY = 502;
 
 	private final GatewayContext context;
@@ -110,14 +122,25 @@
 				afterSourceEnds(call);
 			}
 			else if (call.attempt == carry.source) {
-				carry.stage = CarryOver.Stage.STOPPING;
-				move(call, true);
+				copyAgainOrStop(call, carry, this.context.time.nowMillis() - started);
 			}
 			return;
 		}
 		notCopied(call, carry, last);
 	}
 
+	// Copies of other generations queue on the same link, so a short copy shows that the
+	// last one will be short as well.
+	private void copyAgainOrStop(Call call, CarryOver carry, long copyMillis) {
+		boolean shortEnough = copyMillis <= LAST_COPY_SHARE_OF_GAP * call.route.targetGapMillis();
+		boolean late = this.context.time.nowMillis() - carry.startedMillis >= STOP_AFTER_NOTICE_MILLIS;
+		boolean last = shortEnough || late || call.route.targetGapMillis() == 0;
+		if (last) {
+			carry.stage = CarryOver.Stage.STOPPING;
+		}
+		move(call, last);
+	}
+
 	private void notCopied(Call call, CarryOver carry, boolean last) {
 		carry.release();
 		carry.refusedBy.add(carry.target.listing.id());
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.xnio.XnioIoThread;
+
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.RoutingTable;
 import org.skylarkspring.gateway.model.StoreResult;
@@ -55,6 +57,8 @@
 
 	private int epoch;
 
+	private XnioIoThread.Key nextPoll;
+
 	ConfigurationFeed(ObjectStore store, ObjectDecoder decoder, SteadyTime time, DecisionLog log,
 			long revocationMillis) {
 		this.store = store;
@@ -130,10 +134,13 @@
 		List<Runnable> waiting = List.copyOf(this.waiters);
 		this.waiters.clear();
 		waiting.forEach(Runnable::run);
-		this.time.after(taken ? POLL_MILLIS : RETRY_MILLIS, this::pollIfIdle);
+		if (this.nextPoll != null) {
+			this.nextPoll.remove();
+		}
+		this.nextPoll = this.time.after(taken ? POLL_MILLIS : RETRY_MILLIS, this::poll);
 	}
 
-	private void pollIfIdle() {
+	private void poll() {
 		checkClocks();
 		read();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -180,7 +180,9 @@
 				this.bodyBytesHeld -= body.length;
 				next.proceed();
 			});
-			whole.accept(body);
+			// Outside the receiver's own call, which would end the exchange when it
+			// returns.
+			received.dispatch(SameThreadExecutor.INSTANCE, () -> whole.accept(body));
 		}, (received, failure) -> {
 			timer.remove();
 			if (failure instanceof RequestTooBigException) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -137,7 +137,7 @@
 		this.sequence++;
 		List<PeerLoad.ServerLoad> loads = this.servers.all()
 			.stream()
-			.filter((entry) -> !entry.attempts.isEmpty())
+			.filter((entry) -> !entry.attempts.isEmpty() || entry.promisedTokens > 0)
 			.map((entry) -> new PeerLoad.ServerLoad(entry.listing.id(), entry.attempts.size(), entry.promisedTokens))
 			.toList();
 		String text = this.gson.toJson(new PeerLoad(this.context.settings.instanceId(), this.sequence, loads));
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Placer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Placer.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.skylarkspring.gateway.model.EngineSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
@@ -19,6 +21,12 @@
 	/** A cold server's rate holds for all instances; each keeps to its share. */
 	private static final int SELF = 1;
 
+	/** Copies between data centres take twice as long. */
+	private static final double SLOW_LINK = 0.15;
+
+	/** Load of about one generation. */
+	private static final double TARGET_SPREAD = 0.15;
+
 	private final ServerTable table;
 
 	private final PeerTable peers;
@@ -67,21 +75,38 @@
 	 */
 	Optional<ServerEntry> chooseTarget(ServiceSpec service, long tokens, ServerEntry source, Set<String> excluded) {
 		long now = this.context.time.nowMillis();
-		return ranked(service, tokens, (entry) -> entry != source && !excluded.contains(entry.listing.id())).stream()
+		return allowed(service, (entry) -> entry != source && !excluded.contains(entry.listing.id()))
 			.filter((entry) -> !entry.suspended(now))
+			.map((entry) -> new Ranked(entry, targetCost(service, entry, tokens, source, now)))
+			.sorted(Comparator.comparingDouble(Ranked::cost))
+			.map(Ranked::entry)
 			.filter((entry) -> bears(service, entry, now))
 			.findFirst();
 	}
 
+	// Many instances look for targets at the same moment with the same knowledge; the
+	// random part keeps them from all choosing the same.
+	private double targetCost(ServiceSpec service, ServerEntry entry, long tokens, ServerEntry source, long now) {
+		boolean longWay = !entry.listing.dataCentre().equals(source.listing.dataCentre());
+		return this.cost.cost(candidate(service, entry, now), tokens) + (longWay ? SLOW_LINK : 0)
+				+ TARGET_SPREAD * ThreadLocalRandom.current().nextDouble();
+	}
+
 	private List<ServerEntry> ranked(ServiceSpec service, long tokens, Predicate<ServerEntry> allowed) {
 		long now = this.context.time.nowMillis();
+		return allowed(service, allowed)
+			.map((entry) -> new Ranked(entry, this.cost.cost(candidate(service, entry, now), tokens)))
+			.sorted(Comparator.comparingDouble(Ranked::cost))
+			.map(Ranked::entry)
+			.toList();
+	}
+
+	private Stream<ServerEntry> allowed(ServiceSpec service, Predicate<ServerEntry> allowed) {
 		return this.table.ofService(service.name())
 			.stream()
 			.filter(ServerEntry::mayReceive)
 			.filter((entry) -> !closed(entry.listing.dataCentre()))
-			.filter(allowed)
-			.sorted(Comparator.comparingDouble((entry) -> this.cost.cost(candidate(service, entry, now), tokens)))
-			.toList();
+			.filter(allowed);
 	}
 
 	private boolean bears(ServiceSpec service, ServerEntry entry, long now) {
@@ -100,4 +125,7 @@
 				entry.promisedTokens + entry.peerTokens, memory, entry.failureRate, entry.suspended(now));
 	}
 
+	private record Ranked(ServerEntry entry, double cost) {
+	}
+
 }
