Go on from the first copy when the notice is nearly up; tell peers on placing

Requests that the engine had not started were given up after four quick looks. Now: a target that holds a copy goes on from it when the time is nearly up and reads the few tokens made since; requests not started are looked for until they start; peers are told of each placed generation within 20 ms, with the prompt tokens not answered yet, which count as load.

Ruled out: the last copy in any case (waits in the same queue); a fourth round of copies.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ServerCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ServerCall.java
@@ -199,7 +199,7 @@
 		if (!this.ended) {
 			end();
 			this.listener.onFailure(this.sent ? CallOutcome.UNKNOWN : CallOutcome.NOT_SENT,
-					String.valueOf(failure.getMessage()));
+					(failure.getMessage() != null) ? failure.getMessage() : failure.getClass().getSimpleName());
 		}
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
@@ -8,6 +8,7 @@
 import io.undertow.util.HeaderMap;
 import org.xnio.XnioIoThread;
 
+import org.skylarkspring.gateway.model.PromptSpec;
 import org.skylarkspring.gateway.model.RequestHead;
 import org.skylarkspring.gateway.model.RouteSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
@@ -91,6 +92,10 @@
 		return this.head.requestId();
 	}
 
+	long promptTokens() {
+		return this.head.prompt().map(PromptSpec::promptTokens).orElse(0);
+	}
+
 	boolean keyed() {
 		return this.workspace.isPresent();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
@@ -57,6 +57,9 @@
 
 	private CarryOverSystem carryOvers;
 
+	private Runnable onGenerationPlaced = () -> {
+	};
+
 	CallFlow(GatewayContext context, ConfigurationFeed configuration, Placer placer, RetryBudgets retries) {
 		this.context = context;
 		this.configuration = configuration;
@@ -68,6 +71,10 @@
 		this.carryOvers = system;
 	}
 
+	void onGenerationPlaced(Runnable listener) {
+		this.onGenerationPlaced = listener;
+	}
+
 	int active() {
 		return this.calls.size();
 	}
@@ -128,6 +135,11 @@
 		call.triedServers.add(entry.listing.id());
 		entry.attempts.add(attempt);
 		entry.promisedTokens += call.promisedTokens;
+		attempt.unreadTokens = continuation.isPresent() ? 0 : call.promptTokens();
+		entry.unreadTokens += attempt.unreadTokens;
+		if (call.promisedTokens > 0) {
+			this.onGenerationPlaced.run();
+		}
 		this.context.log.routine(this.context.time.nowMillis(), call.id(), "sent",
 				Map.of("server", entry.listing.id(), "route", call.route.name(), "send", call.sends, "continued",
 						continuation.isPresent(), "promised-tokens", entry.promisedTokens, "running",
@@ -200,6 +212,7 @@
 		}
 		call.lastEventMillis = now;
 		attempt.events++;
+		promptRead(attempt);
 		call.order.delivered(event);
 		return call.answer.write(event.bytes());
 	}
@@ -408,12 +421,18 @@
 	void detach(ServerAttempt attempt) {
 		if (attempt.entry.attempts.remove(attempt)) {
 			attempt.entry.promisedTokens -= attempt.call.promisedTokens;
+			promptRead(attempt);
 		}
 		if (attempt.call.attempt == attempt) {
 			attempt.call.attempt = null;
 		}
 	}
 
+	private static void promptRead(ServerAttempt attempt) {
+		attempt.entry.unreadTokens -= attempt.unreadTokens;
+		attempt.unreadTokens = 0;
+	}
+
 	private void note(Call call, String decision, ServerAttempt attempt, String reason) {
 		this.context.metrics.decision(decision);
 		this.context.log.request(call.id(), decision,
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
@@ -18,12 +18,17 @@
 	private static final long COPY_TIMEOUT_MILLIS = 3_000;
 
 	/** Pause before another target is looked for. */
-	private static final long RETRY_MILLIS = 100;
+	private static final long RETRY_MILLIS = 20;
+
+	/** Pause before a generation that had not started is looked for again. */
+	private static final long NOT_STARTED_RETRY_MILLIS = 60;
 
 	/** Time in which the stopped source's stream ends, well above a round trip. */
 	private static final long SOURCE_END_MILLIS = 60;
 
-	private static final int MAXIMUM_ROUNDS = 4;
+	private static final int MAXIMUM_ROUNDS = 8;
+
+	private static final int BAD_GATEWAY = 502;
 
 	/**
 	 * Share of the longest pause that is on time which the last copy may take; the rest
@@ -32,12 +37,10 @@
 	private static final double LAST_COPY_SHARE_OF_GAP = 0.4;
 
 	/**
-	 * Time after the notice at which the generation is stopped in any case, two thirds of
-	 * the shortest notice.
+	 * Time after the notice at which a copied generation goes on in any case, so that it
+	 * does within the shortest notice.
 	 */
-	private static final long STOP_AFTER_NOTICE_MILLIS = 1_000;
-
-	private static final int BAD_GATEWAY = 502;
+	private static final long SWITCH_AFTER_NOTICE_MILLIS = 1_100;
 
 	private final GatewayContext context;
 
@@ -122,23 +125,69 @@
 				afterSourceEnds(call);
 			}
 			else if (call.attempt == carry.source) {
-				copyAgainOrStop(call, carry, this.context.time.nowMillis() - started);
+				copyAgainOrGoOn(call, carry, this.context.time.nowMillis() - started);
 			}
 			return;
 		}
+		if (result instanceof MoveResult.Unknown && call.attempt == carry.source) {
+			// The engine has not started the request; there is nothing to copy yet.
+			carry.release();
+			carry.rounds--;
+			carry.stage = CarryOver.Stage.WAITING;
+			this.context.time.after(NOT_STARTED_RETRY_MILLIS, () -> copy(call));
+			return;
+		}
+		if (carry.copied) {
+			continueFromCopy(call, carry);
+			return;
+		}
 		notCopied(call, carry, last);
 	}
 
 	// Copies of other generations queue on the same link, so a short copy shows that the
-	// last one will be short as well.
-	private void copyAgainOrStop(Call call, CarryOver carry, long copyMillis) {
+	// last one will be short as well. When the time is nearly up the target goes on from
+	// the copy it has and reads the few tokens made since.
+	private void copyAgainOrGoOn(Call call, CarryOver carry, long copyMillis) {
 		boolean shortEnough = copyMillis <= LAST_COPY_SHARE_OF_GAP * call.route.targetGapMillis();
-		boolean late = this.context.time.nowMillis() - carry.startedMillis >= STOP_AFTER_NOTICE_MILLIS;
-		boolean last = shortEnough || late || call.route.targetGapMillis() == 0;
-		if (last) {
+		if (shortEnough || call.route.targetGapMillis() == 0) {
 			carry.stage = CarryOver.Stage.STOPPING;
+			move(call, true);
+		}
+		else if (noticeAge(carry) >= SWITCH_AFTER_NOTICE_MILLIS) {
+			switchOver(call, carry);
+		}
+		else {
+			this.context.time.after(SWITCH_AFTER_NOTICE_MILLIS - noticeAge(carry), () -> {
+				if (carry.stage == CarryOver.Stage.COPYING) {
+					switchOver(call, carry);
+				}
+			});
+			move(call, false);
+		}
+	}
+
+	private long noticeAge(CarryOver carry) {
+		return this.context.time.nowMillis() - carry.startedMillis;
+	}
+
+	// Leaves the source without a last copy.
+	private void switchOver(Call call, CarryOver carry) {
+		if (call.finished || call.attempt != carry.source) {
+			return;
+		}
+		carry.stage = CarryOver.Stage.CONTINUED;
+		carry.source.cancel();
+		this.flow.detach(carry.source);
+		goOn(call);
+	}
+
+	private void continueFromCopy(Call call, CarryOver carry) {
+		if (carry.sourceEnded) {
+			goOn(call);
+		}
+		else {
+			switchOver(call, carry);
 		}
-		move(call, last);
 	}
 
 	private void notCopied(Call call, CarryOver carry, boolean last) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -118,6 +118,7 @@
 		this.flow.carryOvers(this.carryOvers);
 		this.lifecycle = new Lifecycle(this.context, this.configuration, this.servers);
 		this.peerExchange = new PeerExchange(this.context, this.store, this.peers, this.servers);
+		this.flow.onGenerationPlaced(this.peerExchange::placed);
 	}
 
 	/** Starts the listeners and the feeds. */
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -10,6 +10,7 @@
 import com.google.gson.JsonSyntaxException;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Methods;
+import org.xnio.XnioIoThread;
 
 import org.skylarkspring.gateway.http.TextRequest;
 import org.skylarkspring.gateway.model.ObjectChange;
@@ -26,8 +27,13 @@
 
 	static final String PATH = "/peer-load";
 
-	/** Several times in the life of a short generation. */
-	private static final long INTERVAL_MILLIS = 250;
+	/** Told at least so often, so that silence means that the peer is away. */
+	private static final long INTERVAL_MILLIS = 1_000;
+
+	/** Placements within this time are told together. */
+	private static final long GATHER_MILLIS = 20;
+
+	private static final long TIMEOUT_MILLIS = 500;
 
 	private static final long WRITE_RETRY_MILLIS = 1_000;
 
@@ -47,6 +53,10 @@
 
 	private long sequence;
 
+	private boolean telling;
+
+	private XnioIoThread.Key nextTelling;
+
 	PeerExchange(GatewayContext context, ObjectStore store, PeerTable peers, ServerTable servers) {
 		this.context = context;
 		this.store = store;
@@ -98,6 +108,7 @@
 			if (peer != null) {
 				peer.loads = load.loads();
 				peer.heardMillis = this.context.time.nowMillis();
+				this.peers.addLoads(this.servers, peer.heardMillis);
 			}
 			return true;
 		}
@@ -133,20 +144,33 @@
 			});
 	}
 
+	/** Tells the peers soon that a generation was placed. */
+	void placed() {
+		if (!this.telling) {
+			this.telling = true;
+			this.context.time.after(GATHER_MILLIS, this::tell);
+		}
+	}
+
 	private void tell() {
+		this.telling = false;
+		if (this.nextTelling != null) {
+			this.nextTelling.remove();
+		}
 		this.sequence++;
 		List<PeerLoad.ServerLoad> loads = this.servers.all()
 			.stream()
 			.filter((entry) -> !entry.attempts.isEmpty() || entry.promisedTokens > 0)
-			.map((entry) -> new PeerLoad.ServerLoad(entry.listing.id(), entry.attempts.size(), entry.promisedTokens))
+			.map((entry) -> new PeerLoad.ServerLoad(entry.listing.id(), entry.attempts.size(), entry.promisedTokens,
+					entry.unreadTokens))
 			.toList();
 		String text = this.gson.toJson(new PeerLoad(this.context.settings.instanceId(), this.sequence, loads));
 		TextRequest request = new TextRequest(Methods.POST, PATH, Optional.of(text));
 		this.peers.all()
 			.values()
-			.forEach((peer) -> this.context.client.call(peer.address, request, INTERVAL_MILLIS * 2,
+			.forEach((peer) -> this.context.client.call(peer.address, request, TIMEOUT_MILLIS,
 					(result) -> this.context.metrics.decision("peer told")));
-		this.context.time.after(INTERVAL_MILLIS, this::tell);
+		this.nextTelling = this.context.time.after(INTERVAL_MILLIS, this::tell);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
@@ -17,8 +17,9 @@
 	 * @param serverId name of the server
 	 * @param running number of requests
 	 * @param promisedTokens memory promised to them
+	 * @param unreadTokens prompt tokens of those not answered yet
 	 */
-	record ServerLoad(String serverId, int running, long promisedTokens) {
+	record ServerLoad(String serverId, int running, long promisedTokens, long unreadTokens) {
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
@@ -68,6 +68,7 @@
 		servers.all().forEach((entry) -> {
 			entry.peerRunning = 0;
 			entry.peerTokens = 0;
+			entry.peerUnreadTokens = 0;
 		});
 		this.peers.values()
 			.stream()
@@ -76,6 +77,7 @@
 			.forEach((load) -> servers.find(load.serverId()).ifPresent((entry) -> {
 				entry.peerRunning += load.running();
 				entry.peerTokens += load.promisedTokens();
+				entry.peerUnreadTokens += load.unreadTokens();
 			}));
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Placer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Placer.java
@@ -22,7 +22,7 @@
 	private static final int SELF = 1;
 
 	/** Copies between data centres take twice as long. */
-	private static final double SLOW_LINK = 0.15;
+	private static final double SLOW_LINK = 0.35;
 
 	/** Load of about one generation. */
 	private static final double TARGET_SPREAD = 0.15;
@@ -122,7 +122,8 @@
 		long memory = service.engine().map(EngineSpec::memoryTokens).orElse(0L);
 		return new Candidate(entry.listing.id(), entry.listing.dataCentre().equals(this.context.settings.dataCentre()),
 				entry.attempts.size() + entry.peerRunning, entry.listing.slots(),
-				entry.promisedTokens + entry.peerTokens, memory, entry.failureRate, entry.suspended(now));
+				entry.promisedTokens + entry.peerTokens, entry.unreadTokens + entry.peerUnreadTokens, memory,
+				entry.failureRate, entry.suspended(now));
 	}
 
 	private record Ranked(ServerEntry entry, double cost) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -47,6 +47,9 @@
 
 	boolean sent;
 
+	/** Prompt tokens the server may not have read yet. */
+	long unreadTokens;
+
 	private final GatewayContext context;
 
 	private final CallFlow flow;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
@@ -40,8 +40,13 @@
 
 	long promisedTokens;
 
+	/** Prompt tokens of requests that have not been answered yet. */
+	long unreadTokens;
+
 	int peerRunning;
 
+	long peerUnreadTokens;
+
 	long peerTokens;
 
 	double failureRate;
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/Candidate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/Candidate.java
@@ -8,10 +8,11 @@
  * @param running requests of all instances on the server, as far as known
  * @param slots requests the server runs at once
  * @param promisedTokens memory promised to those requests, 0 for plain services
+ * @param unreadTokens prompts sent to the server that it has not answered yet
  * @param memoryTokens memory of the server, 0 for plain services
  * @param failureRate share of recent requests that failed, 0 to 1
  * @param suspended whether the server failed just now and isn't due to be tried again
  */
 public record Candidate(String serverId, boolean sameDataCentre, int running, int slots, long promisedTokens,
-		long memoryTokens, double failureRate, boolean suspended) {
+		long unreadTokens, long memoryTokens, double failureRate, boolean suspended) {
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/PlacementCosts.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/PlacementCosts.java
@@ -15,6 +15,11 @@
 
 	private static final double FAILURE_WEIGHT = 4;
 
+	/**
+	 * A prompt that waits to be read delays the next one by more than its memory counts.
+	 */
+	private static final double UNREAD_WEIGHT = 1.5;
+
 	/** Above any other cost: taken only if there is no other server. */
 	private static final double SUSPENDED = 1_000;
 
@@ -30,8 +35,10 @@
 			double slots = (candidate.running() + 1.0) / Math.max(1, candidate.slots());
 			double memory = (candidate.memoryTokens() > 0)
 					? (double) (candidate.promisedTokens() + requestTokens) / candidate.memoryTokens() : 0;
+			double unread = (candidate.memoryTokens() > 0)
+					? UNREAD_WEIGHT * candidate.unreadTokens() / candidate.memoryTokens() : 0;
 			double failures = FAILURE_WEIGHT * Math.max(0, candidate.failureRate() - USUAL_FAILURE_RATE);
-			return Math.max(slots, memory) + failures + (candidate.sameDataCentre() ? 0 : OTHER_DATA_CENTRE)
+			return Math.max(slots, memory) + unread + failures + (candidate.sameDataCentre() ? 0 : OTHER_DATA_CENTRE)
 					+ (candidate.suspended() ? SUSPENDED : 0);
 		};
 	}
