Test the gateway's decisions and state on virtual time

Found by the tests: clocks were first compared at the first request, so a suspension before it went unseen; the retry budget could exceed the shared bound in a window whose requests lay in an older one (jqwik, seed 7), so requests count for half a window now.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
@@ -6,7 +6,6 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import org.xnio.XnioIoThread;
 
 import org.skylarkspring.gateway.model.PromptSpec;
 import org.skylarkspring.gateway.model.RequestHead;
@@ -50,9 +49,9 @@
 
 	CallerWatch watch;
 
-	XnioIoThread.Key deadlineTimer;
+	TimeSource.Timer deadlineTimer;
 
-	XnioIoThread.Key holdTimer;
+	TimeSource.Timer holdTimer;
 
 	ServerAttempt attempt;
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
@@ -5,8 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.xnio.XnioIoThread;
-
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.RoutingTable;
 import org.skylarkspring.gateway.model.StoreResult;
@@ -35,7 +33,7 @@
 
 	private final ObjectDecoder decoder;
 
-	private final SteadyTime time;
+	private final TimeSource time;
 
 	private final DecisionLog log;
 
@@ -57,9 +55,9 @@
 
 	private int epoch;
 
-	private XnioIoThread.Key nextPoll;
+	private TimeSource.Timer nextPoll;
 
-	ConfigurationFeed(ObjectStore store, ObjectDecoder decoder, SteadyTime time, DecisionLog log,
+	ConfigurationFeed(ObjectStore store, ObjectDecoder decoder, TimeSource time, DecisionLog log,
 			long revocationMillis) {
 		this.store = store;
 		this.decoder = decoder;
@@ -69,6 +67,7 @@
 	}
 
 	void start() {
+		checkClocks();
 		read();
 	}
 
@@ -99,7 +98,7 @@
 	}
 
 	private void checkClocks() {
-		if (this.suspensions.observe(System.nanoTime(), System.currentTimeMillis())) {
+		if (this.suspensions.observe(this.time.nowMillis(), this.time.epochMillis())) {
 			this.epoch++;
 			this.confirmed = false;
 			this.log.change("clocks moved apart, configuration is unconfirmed", Map.of("epoch", this.epoch));
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
@@ -25,7 +25,7 @@
 
 	final TextClient client;
 
-	final SteadyTime time;
+	final TimeSource time;
 
 	final DecisionLog log = new DecisionLog();
 
@@ -39,7 +39,7 @@
 		this.callers = callers;
 		this.servers = servers;
 		this.client = new TextClient(ioThread, buffers);
-		this.time = new SteadyTime(ioThread);
+		this.time = new IoThreadTime(ioThread);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -13,7 +13,6 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import org.xnio.IoUtils;
-import org.xnio.XnioIoThread;
 
 import org.skylarkspring.gateway.model.RequestHead;
 import org.skylarkspring.gateway.model.RouteSpec;
@@ -169,7 +168,7 @@
 	private void readBody(HttpServerExchange exchange, RoutingTable table, java.util.function.Consumer<byte[]> whole,
 			RequestHead head) {
 		exchange.setMaxEntitySize(table.limits().maximumBodyBytes());
-		XnioIoThread.Key timer = this.context.time.after(table.limits().idleTimeoutMillis(), () -> {
+		TimeSource.Timer timer = this.context.time.after(table.limits().idleTimeoutMillis(), () -> {
 			exchange.setPersistent(false);
 			reject(exchange, head.requestId(), REQUEST_TIMEOUT, "body too slow");
 		});
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IoThreadTime.java
@@ -0,0 +1,36 @@
+package org.skylarkspring.gateway.internal;
+
+import java.util.concurrent.TimeUnit;
+
+import org.xnio.XnioIoThread;
+
+/**
+ * Time and timers of an I/O thread.
+ */
+final class IoThreadTime implements TimeSource {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final XnioIoThread ioThread;
+
+	IoThreadTime(XnioIoThread ioThread) {
+		this.ioThread = ioThread;
+	}
+
+	@Override
+	public long nowMillis() {
+		return System.nanoTime() / NANOS_PER_MILLI;
+	}
+
+	@Override
+	public long epochMillis() {
+		return System.currentTimeMillis();
+	}
+
+	@Override
+	public Timer after(long millis, Runnable task) {
+		XnioIoThread.Key key = this.ioThread.executeAfter(task, Math.max(0, millis), TimeUnit.MILLISECONDS);
+		return key::remove;
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/KindWatch.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/KindWatch.java
@@ -27,7 +27,7 @@
 
 	private final ObjectStore store;
 
-	private final SteadyTime time;
+	private final TimeSource time;
 
 	private final DecisionLog log;
 
@@ -41,7 +41,7 @@
 
 	private long revision;
 
-	KindWatch(ObjectStore store, SteadyTime time, DecisionLog log, ObjectKind kind, long waitMillis,
+	KindWatch(ObjectStore store, TimeSource time, DecisionLog log, ObjectKind kind, long waitMillis,
 			Listener listener) {
 		this.store = store;
 		this.time = time;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -10,7 +10,6 @@
 import com.google.gson.JsonSyntaxException;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Methods;
-import org.xnio.XnioIoThread;
 
 import org.skylarkspring.gateway.http.TextRequest;
 import org.skylarkspring.gateway.model.ObjectChange;
@@ -55,7 +54,7 @@
 
 	private boolean telling;
 
-	private XnioIoThread.Key nextTelling;
+	private TimeSource.Timer nextTelling;
 
 	PeerExchange(GatewayContext context, ObjectStore store, PeerTable peers, ServerTable servers) {
 		this.context = context;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RetryBudgets.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RetryBudgets.java
@@ -15,11 +15,11 @@
 
 	private final GatewaySettings settings;
 
-	private final SteadyTime time;
+	private final TimeSource time;
 
 	private final PeerTable peers;
 
-	RetryBudgets(GatewaySettings settings, SteadyTime time, PeerTable peers) {
+	RetryBudgets(GatewaySettings settings, TimeSource time, PeerTable peers) {
 		this.settings = settings;
 		this.time = time;
 		this.peers = peers;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -8,7 +8,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import org.xnio.XnioIoThread;
 
 import org.skylarkspring.gateway.http.CallOutcome;
 import org.skylarkspring.gateway.http.ServerCall;
@@ -40,7 +39,7 @@
 
 	final long startedMillis;
 
-	XnioIoThread.Key silenceTimer;
+	TimeSource.Timer silenceTimer;
 
 	/** Events passed on from this attempt. */
 	int events;
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/RetryBudget.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/RetryBudget.java
@@ -5,7 +5,9 @@
 
 /**
  * This instance's share of the arrivals that a service may get beyond the first of each
- * request, in any window of a given length.
+ * request, in any window of a given length. Requests count for half a window, so that
+ * those a repeat was allowed for lie together within the window, the one before it or the
+ * one half a window before.
  */
 public final class RetryBudget {
 
@@ -46,8 +48,8 @@
 	 * @return whether the repeat may be sent
 	 */
 	public boolean tryRepeat(long nowMillis, int instances) {
-		forget(this.requests, nowMillis);
-		forget(this.repeats, nowMillis);
+		forget(this.requests, nowMillis - this.windowMillis / 2);
+		forget(this.repeats, nowMillis - this.windowMillis);
 		double allowed = this.ratio * this.requests.size() + this.extra / instances;
 		if (this.repeats.size() + 1 > allowed) {
 			return false;
@@ -56,8 +58,8 @@
 		return true;
 	}
 
-	private void forget(Deque<Long> times, long nowMillis) {
-		while (!times.isEmpty() && times.peekFirst() < nowMillis - this.windowMillis) {
+	private static void forget(Deque<Long> times, long beforeMillis) {
+		while (!times.isEmpty() && times.peekFirst() < beforeMillis) {
 			times.removeFirst();
 		}
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/SuspensionDetector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/SuspensionDetector.java
@@ -11,20 +11,18 @@
 	/** Distance that scheduling delays between two clock readings can't explain. */
 	private static final long TOLERANCE_MILLIS = 100;
 
-	private static final long NANOS_PER_MILLI = 1_000_000;
-
 	private long offsetMillis;
 
 	private boolean started;
 
 	/**
 	 * Compares the clocks.
-	 * @param steadyNanos reading of the steady clock
+	 * @param steadyMillis reading of the steady clock
 	 * @param epochMillis reading of the time of day, taken right after
 	 * @return {@code true} if ages measured across this moment can't be trusted
 	 */
-	public boolean observe(long steadyNanos, long epochMillis) {
-		long offset = epochMillis - steadyNanos / NANOS_PER_MILLI;
+	public boolean observe(long steadyMillis, long epochMillis) {
+		long offset = epochMillis - steadyMillis;
 		boolean jumped = this.started && Math.abs(offset - this.offsetMillis) > TOLERANCE_MILLIS;
 		this.started = true;
 		this.offsetMillis = offset;
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of calls over sockets.
+ */
+package org.skylarkspring.gateway.http;
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/RetryBudgetTests.java
@@ -0,0 +1,72 @@
+package org.skylarkspring.gateway.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Tests for {@link RetryBudget}.
+ */
+class RetryBudgetTests {
+
+	private static final long WINDOW_MILLIS = 10_000;
+
+	@Test
+	void dividesTheExtraAmongInstances() {
+		RetryBudget budget = new RetryBudget(WINDOW_MILLIS, 0, 6);
+		assertThat(budget.tryRepeat(0, 3), is(true));
+		assertThat(budget.tryRepeat(1, 3), is(true));
+		assertThat(budget.tryRepeat(2, 3), is(false));
+	}
+
+	@Test
+	void givesBackWhatLeftTheWindow() {
+		RetryBudget budget = new RetryBudget(WINDOW_MILLIS, 0, 1);
+		assertThat(budget.tryRepeat(0, 1), is(true));
+		assertThat(budget.tryRepeat(WINDOW_MILLIS, 1), is(false));
+		assertThat(budget.tryRepeat(WINDOW_MILLIS + 1, 1), is(true));
+	}
+
+	@Property(tries = 200, seed = "7")
+	void neverExceedsTheBoundInAnyWindow(@ForAll @IntRange(min = 1, max = 12) int extra,
+			@ForAll List<@IntRange(min = 0, max = 400) Integer> pauses) {
+		RetryBudget budget = new RetryBudget(WINDOW_MILLIS, 0.2, extra);
+		List<Long> requests = new ArrayList<>();
+		List<Long> repeats = new ArrayList<>();
+		long now = 0;
+		for (int pause : pauses) {
+			now += pause;
+			budget.requested(now);
+			requests.add(now);
+			if (budget.tryRepeat(now, 1)) {
+				repeats.add(now);
+			}
+			assertThat((double) count(repeats, now - WINDOW_MILLIS, now),
+					lessThanOrEqualTo(0.2 * asked(requests, now) + extra));
+		}
+	}
+
+	// The platform counts the requests of the window, of the one before it or of the one
+	// half a window before it, whichever has most.
+	private static long asked(List<Long> requests, long now) {
+		long half = WINDOW_MILLIS / 2;
+		return IntStream.rangeClosed(0, 2)
+			.mapToLong((shift) -> count(requests, now - shift * half - WINDOW_MILLIS, now - shift * half))
+			.max()
+			.orElse(0);
+	}
+
+	private static long count(List<Long> times, long from, long to) {
+		return times.stream().filter((time) -> time >= from && time <= to).count();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions.
+ */
+package org.skylarkspring.gateway.policy;
