--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
@@ -55,6 +55,8 @@
 
 	private final RetryBudgets retries;
 
+	private long bodyBytesHeld;
+
 	private CarryOverSystem carryOvers;
 
 	private Runnable onGenerationPlaced = () -> {
@@ -79,8 +81,13 @@
 		return this.calls.size();
 	}
 
+	long bodyBytesHeld() {
+		return this.bodyBytesHeld;
+	}
+
 	void begin(Call call) {
 		this.calls.add(call);
+		this.bodyBytesHeld += call.body.length;
 		this.context.metrics.active(this.calls.size());
 		this.retries.requested(call.service.name());
 		call.answer = new CallerAnswer(call.exchange, () -> {
@@ -402,6 +409,7 @@
 	private void finish(Call call, String outcome) {
 		call.finished = true;
 		this.calls.remove(call);
+		this.bodyBytesHeld -= call.body.length;
 		this.context.metrics.active(this.calls.size());
 		this.context.metrics.outcome(call.route.name(), outcome);
 		call.deadlineTimer.remove();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -2,11 +2,12 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -56,8 +57,6 @@
 
 	private final Lifecycle lifecycle;
 
-	private long bodyBytesHeld;
-
 	IngressHandler(GatewayContext context, ConfigurationFeed configuration, CallFlow flow, Lifecycle lifecycle) {
 		this.context = context;
 		this.configuration = configuration;
@@ -154,43 +153,30 @@
 			reject(exchange, head.requestId(), TOO_LARGE, "body too large");
 			return;
 		}
-		if (this.bodyBytesHeld + Math.max(0, length) > MAXIMUM_BODY_BYTES_HELD) {
+		if (this.flow.bodyBytesHeld() + Math.max(0, length) > MAXIMUM_BODY_BYTES_HELD) {
 			refuse(exchange, head.requestId(), "too many bodies held");
 			return;
 		}
-		int priority = workspace.map(WorkspaceSpec::priority)
-			.orElse(java.util.OptionalInt.empty())
-			.orElse(route.priority());
+		int priority = workspace.map(WorkspaceSpec::priority).orElse(OptionalInt.empty()).orElse(route.priority());
 		readBody(exchange, table, (body) -> this.flow.begin(new Call(exchange, head, route, service.get(),
 				workspace.map(WorkspaceSpec::name), priority, body, forwarded(exchange), arrived)), head);
 	}
 
-	private void readBody(HttpServerExchange exchange, RoutingTable table, java.util.function.Consumer<byte[]> whole,
-			RequestHead head) {
-		exchange.setMaxEntitySize(table.limits().maximumBodyBytes());
+	private void readBody(HttpServerExchange exchange, RoutingTable table, Consumer<byte[]> whole, RequestHead head) {
 		TimeSource.Timer timer = this.context.time.after(table.limits().idleTimeoutMillis(), () -> {
 			exchange.setPersistent(false);
 			reject(exchange, head.requestId(), REQUEST_TIMEOUT, "body too slow");
 		});
-		exchange.getRequestReceiver().receiveFullBytes((received, body) -> {
-			timer.remove();
-			this.bodyBytesHeld += body.length;
-			exchange.addExchangeCompleteListener((ended, next) -> {
-				this.bodyBytesHeld -= body.length;
-				next.proceed();
-			});
-			// Outside the receiver's own call, which would end the exchange when it
-			// returns.
-			received.dispatch(SameThreadExecutor.INSTANCE, () -> whole.accept(body));
-		}, (received, failure) -> {
+		BodyReader.read(exchange, table.limits().maximumBodyBytes(), (body) -> {
 			timer.remove();
-			if (failure instanceof RequestTooBigException) {
-				exchange.setPersistent(false);
+			if (body.isEmpty()) {
 				reject(exchange, head.requestId(), TOO_LARGE, "body too large");
+				return;
 			}
-			else {
-				IoUtils.safeClose(exchange.getConnection());
-			}
+			whole.accept(body.get());
+		}, () -> {
+			timer.remove();
+			IoUtils.safeClose(exchange.getConnection());
 		});
 	}
 
