--- a/gateway/src/main/java/org/skylarkspring/gateway/Gateway.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/Gateway.java
@@ -1,6 +1,8 @@
 package org.skylarkspring.gateway;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Function;
@@ -45,6 +47,14 @@
 		this.runtime.start();
 	}
 
+	/**
+	 * Returns the addresses the gateway listens on.
+	 * @return the addresses for callers, readiness, peers and metrics, in this order
+	 */
+	public List<InetSocketAddress> addresses() {
+		return this.runtime.addresses();
+	}
+
 	/**
 	 * Shuts down gracefully.
 	 * @param exit called when the process may end
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
@@ -10,6 +10,7 @@
 import io.undertow.util.Headers;
 
 import org.skylarkspring.gateway.http.CallOutcome;
+import org.skylarkspring.gateway.http.ServerCall;
 import org.skylarkspring.gateway.model.Continuation;
 import org.skylarkspring.gateway.model.DispatchHead;
 import org.skylarkspring.gateway.policy.StreamEvent;
@@ -55,6 +56,8 @@
 
 	private final RetryBudgets retries;
 
+	private final DataCentreReach reach;
+
 	private long bodyBytesHeld;
 
 	private CarryOverSystem carryOvers;
@@ -62,11 +65,13 @@
 	private Runnable onGenerationPlaced = () -> {
 	};
 
-	CallFlow(GatewayContext context, ConfigurationFeed configuration, Placer placer, RetryBudgets retries) {
+	CallFlow(GatewayContext context, ConfigurationFeed configuration, Placer placer, RetryBudgets retries,
+			DataCentreReach reach) {
 		this.context = context;
 		this.configuration = configuration;
 		this.placer = placer;
 		this.retries = retries;
+		this.reach = reach;
 	}
 
 	void carryOvers(CarryOverSystem system) {
@@ -108,6 +113,9 @@
 	 */
 	void place(Call call) {
 		Optional<ServerEntry> chosen = this.placer.choose(call.service, call.promisedTokens, call.triedServers);
+		if (chosen.isEmpty() && call.route.kind().repeatable()) {
+			chosen = this.placer.choose(call.service, call.promisedTokens, Set.of());
+		}
 		if (chosen.isEmpty()) {
 			noServer(call);
 			return;
@@ -172,6 +180,7 @@
 	 */
 	boolean maySend(ServerAttempt attempt) {
 		Call call = attempt.call;
+		this.reach.connected(attempt.entry.listing.dataCentre());
 		boolean first = call.runs == 0;
 		if (first && call.keyed() && !(this.configuration.fresh() && keyHeld(call))) {
 			return false;
@@ -314,6 +323,9 @@
 			return;
 		}
 		note(call, "attempt broke", attempt, outcome + ": " + reason);
+		if (outcome == CallOutcome.NOT_SENT && reason.equals(ServerCall.CONNECT_TIMEOUT)) {
+			this.reach.timedOut(attempt.entry.listing.dataCentre(), this.context.time.nowMillis());
+		}
 		if (this.carryOvers.takesOver(attempt)) {
 			return;
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -71,6 +71,8 @@
 
 	private final PeerTable peers;
 
+	private final DataCentreReach reach = new DataCentreReach();
+
 	private final Placer placer;
 
 	private final CallFlow flow;
@@ -111,9 +113,9 @@
 				settings.revocationMillis());
 		this.servers = new ServerTable(this::serverLeaves);
 		this.peers = new PeerTable(settings.instanceId(), settings.coldExtra());
-		this.placer = new Placer(this.context, this.servers, this.peers, PlacementCosts.leastLoaded());
+		this.placer = new Placer(this.context, this.servers, this.peers, this.reach, PlacementCosts.leastLoaded());
 		this.flow = new CallFlow(this.context, this.configuration, this.placer,
-				new RetryBudgets(settings, this.context.time, this.peers));
+				new RetryBudgets(settings, this.context.time, this.peers), this.reach);
 		this.carryOvers = new CarryOverSystem(this.context, this.flow, this.placer);
 		this.flow.carryOvers(this.carryOvers);
 		this.lifecycle = new Lifecycle(this.context, this.configuration, this.servers);
@@ -201,11 +203,11 @@
 	}
 
 	/**
-	 * Returns the address callers are served at.
-	 * @return the address
+	 * Returns the addresses the gateway listens on.
+	 * @return the addresses for callers, readiness, peers and metrics, in this order
 	 */
-	public InetSocketAddress callerAddress() {
-		return (InetSocketAddress) this.server.getListenerInfo().get(0).getAddress();
+	public List<InetSocketAddress> addresses() {
+		return this.server.getListenerInfo().stream().map((info) -> (InetSocketAddress) info.getAddress()).toList();
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Placer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Placer.java
@@ -35,12 +35,15 @@
 
 	private final GatewayContext context;
 
+	private final DataCentreReach reach;
+
 	private Set<String> closedDataCentres = Set.of();
 
-	Placer(GatewayContext context, ServerTable table, PeerTable peers, PlacementCost cost) {
+	Placer(GatewayContext context, ServerTable table, PeerTable peers, DataCentreReach reach, PlacementCost cost) {
 		this.context = context;
 		this.table = table;
 		this.peers = peers;
+		this.reach = reach;
 		this.cost = cost;
 	}
 
@@ -123,7 +126,7 @@
 		return new Candidate(entry.listing.id(), entry.listing.dataCentre().equals(this.context.settings.dataCentre()),
 				entry.attempts.size() + entry.peerRunning, entry.listing.slots(),
 				entry.promisedTokens + entry.peerTokens, entry.unreadTokens + entry.peerUnreadTokens, memory,
-				entry.failureRate, entry.suspended(now));
+				entry.failureRate, entry.suspended(now), this.reach.unreached(entry.listing.dataCentre(), now));
 	}
 
 	private record Ranked(ServerEntry entry, double cost) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -25,7 +25,7 @@
 	/** Answers up to this size are passed on only when they are known to be whole. */
 	private static final int MAXIMUM_HELD_BYTES = 256 * 1024;
 
-	private static final long CONNECT_TIMEOUT_MILLIS = 400;
+	private static final long CONNECT_TIMEOUT_MILLIS = 250;
 
 	private static final int OK = 200;
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/Candidate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/Candidate.java
@@ -12,7 +12,8 @@
  * @param memoryTokens memory of the server, 0 for plain services
  * @param failureRate share of recent requests that failed, 0 to 1
  * @param suspended whether the server failed just now and isn't due to be tried again
+ * @param unreached whether connections to its data centre failed just now
  */
 public record Candidate(String serverId, boolean sameDataCentre, int running, int slots, long promisedTokens,
-		long unreadTokens, long memoryTokens, double failureRate, boolean suspended) {
+		long unreadTokens, long memoryTokens, double failureRate, boolean suspended, boolean unreached) {
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/PlacementCosts.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/PlacementCosts.java
@@ -5,8 +5,14 @@
  */
 public final class PlacementCosts {
 
-	/** Crossing between data centres costs bytes and a little time. */
-	private static final double OTHER_DATA_CENTRE = 0.03;
+	/**
+	 * About two generations: an answer from another data centre is lost when the two lose
+	 * each other.
+	 */
+	private static final double OTHER_DATA_CENTRE = 0.25;
+
+	/** Added while connections to a data centre fail, above what load adds. */
+	private static final double UNREACHED_DATA_CENTRE = 10;
 
 	/**
 	 * Failures that a service's own errors explain don't count against a server.
@@ -39,7 +45,7 @@
 					? UNREAD_WEIGHT * candidate.unreadTokens() / candidate.memoryTokens() : 0;
 			double failures = FAILURE_WEIGHT * Math.max(0, candidate.failureRate() - USUAL_FAILURE_RATE);
 			return Math.max(slots, memory) + unread + failures + (candidate.sameDataCentre() ? 0 : OTHER_DATA_CENTRE)
-					+ (candidate.suspended() ? SUSPENDED : 0);
+					+ (candidate.unreached() ? UNREACHED_DATA_CENTRE : 0) + (candidate.suspended() ? SUSPENDED : 0);
 		};
 	}
 
