Ask and tell who leaves while the store can't

Now instances tell the servers listed as draining with their load, and ask the servers that run their generations once the configuration was not confirmed for 2 s.

Figures: 2 tests of the table.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -184,6 +184,7 @@
 		follow(ObjectKind.EVACUATIONS, EVACUATION_WATCH_MILLIS, new EvacuationListener());
 		follow(ObjectKind.INSTANCES, INSTANCE_WATCH_MILLIS, this.peerExchange);
 		this.peerExchange.start();
+		new LeaveProbe(this.context, this.configuration, this.servers).start();
 		tick();
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -100,10 +100,11 @@
 	private boolean take(String text) {
 		try {
 			PeerLoad load = this.gson.fromJson(text, PeerLoad.class);
-			if (load == null || load.instanceId() == null || load.loads() == null) {
+			if (load == null || load.instanceId() == null || load.loads() == null || load.draining() == null) {
 				return false;
 			}
 			PeerTable.PeerEntry peer = this.peers.all().get(load.instanceId());
+			load.draining().forEach(this.servers::noticedLeaving);
 			if (peer != null) {
 				peer.loads = load.loads();
 				peer.heardMillis = this.context.time.nowMillis();
@@ -163,7 +164,8 @@
 			.map((entry) -> new PeerLoad.ServerLoad(entry.listing.id(), entry.attempts.size(), entry.promisedTokens,
 					entry.unreadTokens))
 			.toList();
-		String text = this.gson.toJson(new PeerLoad(this.context.settings.instanceId(), this.sequence, loads));
+		String text = this.gson
+			.toJson(new PeerLoad(this.context.settings.instanceId(), this.sequence, loads, this.servers.draining()));
 		TextRequest request = new TextRequest(Methods.POST, PATH, Optional.of(text));
 		this.peers.all()
 			.values()
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
@@ -8,8 +8,9 @@
  * @param instanceId name of the instance
  * @param sequence number of the message, rising
  * @param loads load placed on each server
+ * @param draining servers listed as about to leave
  */
-record PeerLoad(String instanceId, long sequence, List<ServerLoad> loads) {
+record PeerLoad(String instanceId, long sequence, List<ServerLoad> loads, List<String> draining) {
 
 	/**
 	 * Load that one instance has placed on a server.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
@@ -95,6 +95,29 @@
 		find(serverId).ifPresent((entry) -> missing(entry, nowMillis));
 	}
 
+	/**
+	 * Takes the news that a server leaves from elsewhere than the list.
+	 * @param serverId name of the server
+	 */
+	void noticedLeaving(String serverId) {
+		find(serverId).filter((entry) -> !entry.leaving).ifPresent((entry) -> {
+			entry.leaving = true;
+			this.onLeaving.accept(entry);
+		});
+	}
+
+	/**
+	 * Returns the servers that are listed as draining.
+	 * @return their names
+	 */
+	List<String> draining() {
+		return this.entries.values()
+			.stream()
+			.filter((entry) -> entry.listing.draining() && !entry.removed)
+			.map((entry) -> entry.listing.id())
+			.toList();
+	}
+
 	/**
 	 * Removes listings that have not come back and rows that nothing refers to.
 	 * @param nowMillis current time
--- a/gateway/src/main/java/org/skylarkspring/gateway/port/ServerProtocol.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/port/ServerProtocol.java
@@ -44,6 +44,19 @@
 	 */
 	MoveResult moved(TextResult result);
 
+	/**
+	 * Builds the call that asks a server for its state.
+	 * @return the call
+	 */
+	TextRequest report();
+
+	/**
+	 * Reads from a server's state whether it is about to leave.
+	 * @param result the answer
+	 * @return {@code true} if it says so, {@code false} if it doesn't or did not answer
+	 */
+	boolean reportsLeaving(TextResult result);
+
 	/**
 	 * Builds the call that frees a copy.
 	 * @param handle name of the copy
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerTableTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerTableTests.java
@@ -52,6 +52,29 @@
 
 	}
 
+	@Nested
+	class NewsFromElsewhere {
+
+		@Test
+		void countsUntilTheListSaysOtherwise() {
+			ServerTableTests.this.table.replaceAll(List.of(listing("s1", false, 1)), false, 0);
+			ServerTableTests.this.table.noticedLeaving("s1");
+			ServerTableTests.this.table.noticedLeaving("s1");
+			assertThat(ServerTableTests.this.leaving, contains("s1"));
+			assertThat(usable("s1"), is(false));
+			ServerTableTests.this.table.put(listing("s1", false, 1), 10);
+			assertThat(usable("s1"), is(true));
+		}
+
+		@Test
+		void isPassedOnOnlyFromTheList() {
+			ServerTableTests.this.table.replaceAll(List.of(listing("s1", false, 1), listing("s2", true, 1)), false, 0);
+			ServerTableTests.this.table.noticedLeaving("s1");
+			assertThat(ServerTableTests.this.table.draining(), contains("s2"));
+		}
+
+	}
+
 	@Nested
 	class AfterAnOutage {
 
