--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/PlacementCosts.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/PlacementCosts.java
@@ -9,7 +9,7 @@
 	 * About two generations: an answer from another data centre is lost when the two lose
 	 * each other.
 	 */
-	private static final double OTHER_DATA_CENTRE = 0.25;
+	private static final double OTHER_DATA_CENTRE = 0.45;
 
 	/** Added while connections to a data centre fail, above what load adds. */
 	private static final double UNREACHED_DATA_CENTRE = 10;
