--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
@@ -69,6 +69,9 @@
 
 	long longestPauseMillis;
 
+	/** Time of the event after which a pause was reported, 0 if none was. */
+	long reportedStallMillis;
+
 	boolean finished;
 
 	Call(HttpServerExchange exchange, RequestHead head, RouteSpec route, ServiceSpec service,
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
@@ -38,6 +38,9 @@
 	 */
 	private static final int SILENT_AIMS = 2;
 
+	/** Pause of a stream, in aims of the route, that is worth a line. */
+	private static final int STALL_AIMS = 2;
+
 	private static final int UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -221,6 +224,8 @@
 		if (!call.committed()) {
 			call.answer.start(attempt.response().getResponseCode(), attempt.answerHeaders());
 			call.firstEventMillis = now;
+			this.context.log.routine(now, call.id(), "stream started", Map.of("server", attempt.entry.listing.id(),
+					"route", call.route.name(), "millis", now - call.arrivedMillis));
 			this.context.metrics.latency(call.route.name(), now - call.arrivedMillis);
 		}
 		else if (call.lastEventMillis >= 0) {
@@ -387,6 +392,26 @@
 		}
 	}
 
+	/** Writes a line for each stream that stands still, once for each pause. */
+	void reportStalls() {
+		long now = this.context.time.nowMillis();
+		this.calls.stream()
+			.filter((call) -> call.route.kind().streamed() && call.attempt != null)
+			.filter((call) -> stalledMillis(call, now) > STALL_AIMS * call.route.targetLatencyMillis())
+			.filter((call) -> call.reportedStallMillis != call.lastEventMillis)
+			.forEach((call) -> {
+				call.reportedStallMillis = call.lastEventMillis;
+				this.context.log.request(call.id(), "stream stands still",
+						Map.of("server", call.attempt.entry.listing.id(), "millis", stalledMillis(call, now),
+								"head-received", call.attempt.answered(), "last-event", call.order.lastId().orElse(""),
+								"bytes-pending", call.answer.pendingBytes()));
+			});
+	}
+
+	private static long stalledMillis(Call call, long now) {
+		return now - Math.max(call.lastEventMillis, call.arrivedMillis);
+	}
+
 	void refuse(Call call, String reason, long retryAfterMillis) {
 		if (call.committed()) {
 			cut(call, reason);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerAnswer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerAnswer.java
@@ -40,6 +40,10 @@
 		this.onDrained = onDrained;
 	}
 
+	int pendingBytes() {
+		return this.pendingBytes;
+	}
+
 	boolean started() {
 		return this.sink != null || this.closed;
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -196,6 +196,7 @@
 		long now = this.context.time.nowMillis();
 		this.servers.tick(now);
 		this.peers.addLoads(this.servers, now);
+		this.flow.reportStalls();
 		this.context.time.after(TICK_MILLIS, this::tick);
 	}
 
