--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
@@ -13,6 +13,7 @@
 import org.skylarkspring.gateway.model.ServiceSpec;
 import org.skylarkspring.gateway.policy.EventOrder;
 import org.skylarkspring.gateway.policy.MemoryEstimate;
+import org.skylarkspring.gateway.policy.UnansweredRequest;
 
 /**
  * Row of a request that is being served.
@@ -94,6 +95,11 @@
 		return this.head.requestId();
 	}
 
+	UnansweredRequest unanswered() {
+		return new UnansweredRequest(this.route.kind().repeatable(), committed(), this.runs,
+				this.route.maximumAttempts(), this.sends);
+	}
+
 	long promptTokens() {
 		return this.head.prompt().map(PromptSpec::promptTokens).orElse(0);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -75,6 +75,8 @@
 
 	private final Placer placer;
 
+	private final CallEndings endings;
+
 	private final CallFlow flow;
 
 	private final CarryOverSystem carryOvers;
@@ -114,10 +116,12 @@
 		this.servers = new ServerTable(this::serverLeaves);
 		this.peers = new PeerTable(settings.instanceId(), settings.coldExtra());
 		this.placer = new Placer(this.context, this.servers, this.peers, this.reach, PlacementCosts.leastLoaded());
+		this.endings = new CallEndings(this.context, this.configuration);
 		this.flow = new CallFlow(this.context, this.configuration, this.placer,
-				new RetryBudgets(settings, this.context.time, this.peers), this.reach);
-		this.carryOvers = new CarryOverSystem(this.context, this.flow, this.placer);
+				new RetryBudgets(settings, this.context.time, this.peers), this.reach, this.endings);
+		this.carryOvers = new CarryOverSystem(this.context, this.flow, this.endings, this.placer);
 		this.flow.carryOvers(this.carryOvers);
+		this.endings.onEnded(this.carryOvers::ended);
 		this.lifecycle = new Lifecycle(this.context, this.configuration, this.servers);
 		this.peerExchange = new PeerExchange(this.context, this.store, this.peers, this.servers);
 		this.flow.onGenerationPlaced(this.peerExchange::placed);
@@ -125,7 +129,8 @@
 
 	/** Starts the listeners and the feeds. */
 	public void start() {
-		HttpHandler ingress = new IngressHandler(this.context, this.configuration, this.flow, this.lifecycle);
+		HttpHandler ingress = new IngressHandler(this.context, this.configuration, this.flow, this.endings,
+				this.lifecycle);
 		Undertow.Builder builder = Undertow.builder()
 			.setWorker(this.worker)
 			.setByteBufferPool(this.context.buffers)
@@ -161,7 +166,7 @@
 	public void stop(Runnable exit) {
 		this.context.ioThread.execute(() -> {
 			this.peerExchange.leave();
-			this.lifecycle.stop(this.flow::active, exit);
+			this.lifecycle.stop(() -> this.endings.calls().size(), exit);
 		});
 	}
 
@@ -196,7 +201,7 @@
 		long now = this.context.time.nowMillis();
 		this.servers.tick(now);
 		this.peers.addLoads(this.servers, now);
-		this.flow.reportStalls();
+		this.flow.streams().reportStalls();
 		this.context.time.after(TICK_MILLIS, this::tick);
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -55,12 +55,16 @@
 
 	private final CallFlow flow;
 
+	private final CallEndings endings;
+
 	private final Lifecycle lifecycle;
 
-	IngressHandler(GatewayContext context, ConfigurationFeed configuration, CallFlow flow, Lifecycle lifecycle) {
+	IngressHandler(GatewayContext context, ConfigurationFeed configuration, CallFlow flow, CallEndings endings,
+			Lifecycle lifecycle) {
 		this.context = context;
 		this.configuration = configuration;
 		this.flow = flow;
+		this.endings = endings;
 		this.lifecycle = lifecycle;
 	}
 
@@ -153,7 +157,7 @@
 			reject(exchange, head.requestId(), TOO_LARGE, "body too large");
 			return;
 		}
-		if (this.flow.bodyBytesHeld() + Math.max(0, length) > MAXIMUM_BODY_BYTES_HELD) {
+		if (this.endings.bodyBytesHeld() + Math.max(0, length) > MAXIMUM_BODY_BYTES_HELD) {
 			refuse(exchange, head.requestId(), "too many bodies held");
 			return;
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -97,6 +97,12 @@
 		this.http.resumeReads();
 	}
 
+	/** The server has answered, so it has read the prompt. */
+	void promptRead() {
+		this.entry.unreadTokens -= this.unreadTokens;
+		this.unreadTokens = 0;
+	}
+
 	boolean answered() {
 		return this.response != null;
 	}
@@ -172,7 +178,7 @@
 		if (judgement == EventOrder.Judgement.REPEATED) {
 			return true;
 		}
-		return this.flow.passOn(this, event);
+		return this.flow.streams().passOn(this, event);
 	}
 
 	private boolean onBody(ByteBuffer data) {
@@ -198,7 +204,7 @@
 		this.detached = true;
 		byte[] rest = this.splitter.rest();
 		if (this.streaming) {
-			this.flow.streamEnded(this, rest);
+			this.flow.streams().streamEnded(this, rest);
 		}
 		else {
 			this.flow.answered(this);
