Refuse everything some seconds after SIGTERM; look for a target as long as the source runs

Requests are refused from 2.5 s after SIGTERM on, when new connections have gone elsewhere. Cause 2, found by a test that failed in the suite and passed alone: while all targets were suspended after earlier failures a carry-over used up its eight rounds in 160 ms and gave up. Rounds count copies now, and the search goes on while the source runs.

Ruled out for 2: the probe of the leaving server (it had told in time).

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
@@ -23,6 +23,9 @@
 	/** Pause before a generation that had not started is looked for again. */
 	private static final long NOT_STARTED_RETRY_MILLIS = 60;
 
+	/** Pause before targets are looked for again if there was none. */
+	private static final long NO_TARGET_RETRY_MILLIS = 50;
+
 	/** Time in which the stopped source's stream ends, well above a round trip. */
 	private static final long SOURCE_END_MILLIS = 60;
 
@@ -90,13 +93,16 @@
 			carry.stage = CarryOver.Stage.GIVEN_UP;
 			return;
 		}
-		carry.rounds++;
 		Optional<ServerEntry> target = this.placer.chooseTarget(call.service, call.promisedTokens, carry.source.entry,
 				carry.refusedBy);
 		if (target.isEmpty()) {
-			this.context.time.after(RETRY_MILLIS, () -> copy(call));
+			// Room may come while the source still runs; those that refused may have it
+			// by then.
+			carry.refusedBy.clear();
+			this.context.time.after(NO_TARGET_RETRY_MILLIS, () -> copy(call));
 			return;
 		}
+		carry.rounds++;
 		carry.reserve(target.get(), call.promisedTokens);
 		carry.stage = CarryOver.Stage.COPYING;
 		move(call, false);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
@@ -56,6 +56,21 @@
 		.help("Requests being served")
 		.register(this.registry);
 
+	private final Gauge serversUsable = Gauge.builder()
+		.name("gateway_servers_usable")
+		.help("Backend servers that may get requests")
+		.register(this.registry);
+
+	private final Gauge configurationAge = Gauge.builder()
+		.name("gateway_configuration_age_seconds")
+		.help("Time since the store last confirmed the configuration, negative if it is unknown")
+		.register(this.registry);
+
+	void state(long usable, long configurationAgeMillis) {
+		this.serversUsable.set(usable);
+		this.configurationAge.set(configurationAgeMillis / MILLIS_PER_SECOND);
+	}
+
 	void outcome(String route, String outcome) {
 		this.outcomes.labelValues(route, outcome).inc();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -122,7 +122,8 @@
 		this.carryOvers = new CarryOverSystem(this.context, this.flow, this.endings, this.placer);
 		this.flow.carryOvers(this.carryOvers);
 		this.endings.onEnded(this.carryOvers::ended);
-		this.lifecycle = new Lifecycle(this.context, this.configuration, this.servers);
+		this.lifecycle = new Lifecycle(this.context.time, this.context.log, settings.shutdownGraceMillis(),
+				this.configuration, this.servers);
 		this.peerExchange = new PeerExchange(this.context, this.store, this.peers, this.servers);
 		this.flow.onGenerationPlaced(this.peerExchange::placed);
 	}
@@ -202,6 +203,8 @@
 		this.servers.tick(now);
 		this.peers.addLoads(this.servers, now);
 		this.flow.streams().reportStalls();
+		this.context.metrics.state(this.servers.all().stream().filter(ServerEntry::mayReceive).count(),
+				this.configuration.ageMillis());
 		this.context.time.after(TICK_MILLIS, this::tick);
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Lifecycle.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Lifecycle.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 import org.skylarkspring.gateway.model.CallKind;
 
@@ -14,12 +15,19 @@
 	 */
 	private static final long UNREADY_MILLIS = 3_000;
 
+	/** Two missed polls of readiness, after which new connections go elsewhere. */
+	private static final long TAKEN_MILLIS = 2_500;
+
 	/** Kept free at the end of the grace period to close down. */
 	private static final long EXIT_MARGIN_MILLIS = 300;
 
 	private static final long POLL_MILLIS = 50;
 
-	private final GatewayContext context;
+	private final TimeSource time;
+
+	private final DecisionLog log;
+
+	private final long graceMillis;
 
 	private final ConfigurationFeed configuration;
 
@@ -29,8 +37,11 @@
 
 	private boolean ready;
 
-	Lifecycle(GatewayContext context, ConfigurationFeed configuration, ServerTable servers) {
-		this.context = context;
+	Lifecycle(TimeSource time, DecisionLog log, long graceMillis, ConfigurationFeed configuration,
+			ServerTable servers) {
+		this.time = time;
+		this.log = log;
+		this.graceMillis = graceMillis;
 		this.configuration = configuration;
 		this.servers = servers;
 	}
@@ -48,19 +59,25 @@
 				&& this.configuration.fresh();
 		if (now != this.ready) {
 			this.ready = now;
-			this.context.log.change(now ? "ready" : "not ready", Map.of("stopping", stopping(), "servers-listed",
+			this.log.change(now ? "ready" : "not ready", Map.of("stopping", stopping(), "servers-listed",
 					this.servers.listed(), "configuration-age-millis", this.configuration.ageMillis()));
 		}
 		return now;
 	}
 
 	/**
-	 * Returns whether a request would not end before the process does.
+	 * Returns whether a request might not end before the process does. Generations that
+	 * may not be repeated are refused at once, everything else once callers have had the
+	 * time to go elsewhere.
 	 * @param kind kind of the request
 	 * @return {@code true} if it should go to another instance
 	 */
 	boolean refuses(CallKind kind) {
-		return stopping() && kind == CallKind.STREAM;
+		return stopping() && (kind == CallKind.STREAM || stoppingMillis() > TAKEN_MILLIS);
+	}
+
+	private long stoppingMillis() {
+		return this.time.nowMillis() - this.stoppingSinceMillis;
 	}
 
 	/**
@@ -68,25 +85,25 @@
 	 * @param active returns the number of requests being served
 	 * @param exit ends the process
 	 */
-	void stop(java.util.function.IntSupplier active, Runnable exit) {
+	void stop(IntSupplier active, Runnable exit) {
 		if (stopping()) {
 			return;
 		}
-		this.stoppingSinceMillis = this.context.time.nowMillis();
-		this.context.log.change("shutting down", Map.of("active", active.getAsInt()));
+		this.stoppingSinceMillis = this.time.nowMillis();
+		this.log.change("shutting down", Map.of("active", active.getAsInt()));
 		poll(active, exit);
 	}
 
-	private void poll(java.util.function.IntSupplier active, Runnable exit) {
-		long passed = this.context.time.nowMillis() - this.stoppingSinceMillis;
+	private void poll(IntSupplier active, Runnable exit) {
+		long passed = stoppingMillis();
 		boolean idle = passed >= UNREADY_MILLIS && active.getAsInt() == 0;
-		boolean late = passed >= this.context.settings.shutdownGraceMillis() - EXIT_MARGIN_MILLIS;
+		boolean late = passed >= this.graceMillis - EXIT_MARGIN_MILLIS;
 		if (idle || late) {
-			this.context.log.change("stopped", Map.of("active", active.getAsInt(), "millis", passed));
+			this.log.change("stopped", Map.of("active", active.getAsInt(), "millis", passed));
 			exit.run();
 			return;
 		}
-		this.context.time.after(POLL_MILLIS, () -> poll(active, exit));
+		this.time.after(POLL_MILLIS, () -> poll(active, exit));
 	}
 
 }
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ConfigurationFeedTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ConfigurationFeedTests.java
@@ -1,20 +1,14 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 
 import com.google.gson.JsonObject;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-import org.skylarkspring.gateway.model.CallerLimits;
-import org.skylarkspring.gateway.model.RoutingTable;
-import org.skylarkspring.gateway.model.ServerListing;
 import org.skylarkspring.gateway.model.StoreResult;
 import org.skylarkspring.gateway.model.StoredObject;
-import org.skylarkspring.gateway.port.ObjectDecoder;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -118,22 +112,4 @@
 
 	}
 
-	/**
-	 * Reads the version only.
-	 */
-	private static final class VersionDecoder implements ObjectDecoder {
-
-		@Override
-		public Optional<RoutingTable> routingTable(StoredObject object) {
-			return Optional.of(new RoutingTable(object.content().get("version").getAsLong(), List.of(), Map.of(),
-					Map.of(), true, new CallerLimits(1, 1, 1, 1)));
-		}
-
-		@Override
-		public Optional<ServerListing> server(StoredObject object) {
-			return Optional.empty();
-		}
-
-	}
-
 }
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/VersionDecoder.java
@@ -0,0 +1,29 @@
+package org.skylarkspring.gateway.internal;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.skylarkspring.gateway.model.CallerLimits;
+import org.skylarkspring.gateway.model.RoutingTable;
+import org.skylarkspring.gateway.model.ServerListing;
+import org.skylarkspring.gateway.model.StoredObject;
+import org.skylarkspring.gateway.port.ObjectDecoder;
+
+/**
+ * Reads the version of a configuration and nothing else.
+ */
+final class VersionDecoder implements ObjectDecoder {
+
+	@Override
+	public Optional<RoutingTable> routingTable(StoredObject object) {
+		return Optional.of(new RoutingTable(object.content().get("version").getAsLong(), List.of(), Map.of(), Map.of(),
+				true, new CallerLimits(1, 1, 1, 1)));
+	}
+
+	@Override
+	public Optional<ServerListing> server(StoredObject object) {
+		return Optional.empty();
+	}
+
+}
