Free copies that nobody will use; note on a waiting room that did not pay

Cause: a copy of a generation that ended before it was stopped kept memory and a slot of its target for the copy's lifetime.

Failed try, reverted: long generations waiting in the gateway until a server has room (promised memory up to 0.76, 0.88 or 1.0 of a server), refused after 0.75 aims with Retry-After 4 s, and short generations first inside engines.

Also: a setting without a reader is gone.

--- a/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
@@ -21,11 +21,10 @@
  * @param retryExtra repeats allowed besides, for all instances
  * @param retryWindowMillis window in which repeats are counted
  * @param coldExtra requests a second that a cold server bears beyond its rate
- * @param heartbeatMillis interval at which servers renew their listing
  */
 public record GatewaySettings(String instanceId, String dataCentre, String callerAddress, String readyAddress,
 		String metricsAddress, String peerAddress, long revocationMillis, long shutdownGraceMillis, double retryRatio,
-		double retryExtra, long retryWindowMillis, double coldExtra, long heartbeatMillis) {
+		double retryExtra, long retryWindowMillis, double coldExtra) {
 
 	/**
 	 * Starts settings with the usual bounds.
@@ -66,8 +65,6 @@
 
 		private double coldExtra = 5;
 
-		private long heartbeatMillis = 1_200;
-
 		private Builder(String instanceId, String dataCentre) {
 			this.instanceId = Objects.requireNonNull(instanceId, "instanceId");
 			this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
@@ -157,16 +154,6 @@
 			return this;
 		}
 
-		/**
-		 * Sets the interval at which servers renew their listing.
-		 * @param millis the interval, above 0
-		 * @return this builder
-		 */
-		public Builder heartbeatMillis(long millis) {
-			this.heartbeatMillis = positive("heartbeatMillis", millis);
-			return this;
-		}
-
 		/**
 		 * Builds the settings.
 		 * @return the settings
@@ -174,7 +161,7 @@
 		public GatewaySettings build() {
 			return new GatewaySettings(this.instanceId, this.dataCentre, this.callerAddress, this.readyAddress,
 					this.metricsAddress, this.peerAddress, this.revocationMillis, this.shutdownGraceMillis,
-					this.retryRatio, this.retryExtra, this.retryWindowMillis, this.coldExtra, this.heartbeatMillis);
+					this.retryRatio, this.retryExtra, this.retryWindowMillis, this.coldExtra);
 		}
 
 		private static long positive(String name, long value) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
@@ -283,9 +283,21 @@
 	 */
 	void ended(Call call) {
 		CarryOver carry = call.carryOver;
-		if (carry != null) {
-			carry.release();
+		if (carry == null) {
+			return;
+		}
+		carry.release();
+		if (carry.copied && carry.stage != CarryOver.Stage.CONTINUED) {
+			free(carry);
 		}
 	}
 
+	// A copy that nobody will use would keep memory and a slot of the target.
+	private void free(CarryOver carry) {
+		this.context.metrics.decision("copy freed");
+		this.context.client.call(carry.source.entry.listing.address(), this.context.servers.release(carry.handle),
+				COPY_TIMEOUT_MILLIS, (result) -> this.context.log.change("copy freed",
+						Map.of("target", carry.target.listing.id(), "result", String.valueOf(result))));
+	}
+
 }
