--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
@@ -26,6 +26,9 @@
 
 	private static final long RETRY_MILLIS = 300;
 
+	/** Many times the store's usual answer of some milliseconds. */
+	private static final long SLOW_ANSWER_MILLIS = 100;
+
 	/** Time between reading the age and the arrival of the request at the server. */
 	private static final long AGE_MARGIN_MILLIS = 300;
 
@@ -51,6 +54,8 @@
 
 	private boolean failing;
 
+	private boolean slow;
+
 	private boolean reading;
 
 	private int epoch;
@@ -130,6 +135,7 @@
 			this.log.change(taken ? "configuration confirmed again" : "configuration not confirmed",
 					Map.of("result", taken ? "read" : String.valueOf(result), "age-millis", ageMillis()));
 		}
+		noteSpeed(this.time.nowMillis() - startedMillis);
 		List<Runnable> waiting = List.copyOf(this.waiters);
 		this.waiters.clear();
 		waiting.forEach(Runnable::run);
@@ -139,6 +145,14 @@
 		this.nextPoll = this.time.after(taken ? POLL_MILLIS : RETRY_MILLIS, this::poll);
 	}
 
+	private void noteSpeed(long answerMillis) {
+		boolean nowSlow = answerMillis > SLOW_ANSWER_MILLIS;
+		if (nowSlow != this.slow) {
+			this.slow = nowSlow;
+			this.log.change(nowSlow ? "store slow" : "store fast again", Map.of("answer-millis", answerMillis));
+		}
+	}
+
 	private void poll() {
 		checkClocks();
 		read();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -39,6 +39,9 @@
 
 	private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
+	/** Above any time that the configuration allows for a head. */
+	private static final int HEAD_TIMEOUT_MILLIS = 5_000;
+
 	/** Above any idle time that the configuration allows to be used. */
 	private static final int IDLE_CONNECTION_MILLIS = 120_000;
 
@@ -138,6 +141,7 @@
 			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
 			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEAD_BYTES)
+			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
 			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MILLIS)
 			.setServerOption(UndertowOptions.DECODE_URL, false)
 			.setServerOption(UndertowOptions.ENABLE_HTTP2, false)
