Hold callers to the idle and head times in force

Cause: connections without a request closed after a fixed two minutes and heads had a fixed five seconds, whatever the configuration said. Each call also left a close listener, with its body, on the caller's connection until that ended.

CallerConnections has one row and one close listener for each connection and closes those idle for longer than the configuration in force allows; CallerLimitSystem also sets the time for a head for connections made from then on. Ruled out: the server library's own idle time, since it is fixed when a connection is made and a changed limit would not reach it.

Test first: UnsoundInputTests.IdleConnections.areClosedAfterTheTimeInForce was red (still open after 10 s) with the closing taken out; the head's test now bounds the time from both sides. CallerConnectionsTests (6) hold rows to one for each connection.

The stack's tests are split in two classes over one base.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Call.java
@@ -52,8 +52,6 @@
 
 	TimeSource.Timer deadlineTimer;
 
-	TimeSource.Timer holdTimer;
-
 	ServerAttempt attempt;
 
 	CarryOver carryOver;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
@@ -86,7 +86,6 @@
 			}
 		});
 		call.watch = CallerWatch.start(call.exchange, () -> this.endings.callerLeft(call));
-		call.exchange.getConnection().addCloseListener((closed) -> this.endings.callerLeft(call));
 		call.deadlineTimer = this.context.time.after(call.deadlineMillis - this.context.time.nowMillis(),
 				() -> this.endings.deadlinePassed(call));
 		place(call);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
@@ -76,7 +76,11 @@
 	}
 
 	void decision(String decision) {
-		this.decisions.labelValues(decision).inc();
+		decisions(decision, 1);
+	}
+
+	void decisions(String decision, int count) {
+		this.decisions.labelValues(decision).inc(count);
 	}
 
 	void latency(String route, long millis) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -9,7 +9,6 @@
 import java.util.function.Function;
 
 import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.util.Headers;
@@ -37,14 +36,6 @@
 
 	private static final int BUFFER_BYTES = 8 * 1024;
 
-	private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
-
-	/** Above any time that the configuration allows for a head. */
-	private static final int HEAD_TIMEOUT_MILLIS = 5_000;
-
-	/** Above any idle time that the configuration allows to be used. */
-	private static final int IDLE_CONNECTION_MILLIS = 120_000;
-
 	/** A silent watch is noticed by its end; shorter costs more calls. */
 	private static final long SERVER_WATCH_MILLIS = 4_000;
 
@@ -88,10 +79,14 @@
 
 	private final PeerExchange peerExchange;
 
+	private final CallerConnections connections = new CallerConnections();
+
 	private final Set<String> evacuated = new HashSet<>();
 
 	private Undertow server;
 
+	private CallerLimitSystem callerLimits;
+
 	/**
 	 * Creates a gateway that is not started yet.
 	 * @param settings the settings
@@ -134,17 +129,10 @@
 	/** Starts the listeners and the feeds. */
 	public void start() {
 		HttpHandler ingress = new IngressHandler(this.context, this.configuration, this.flow, this.endings,
-				this.lifecycle);
-		Undertow.Builder builder = Undertow.builder()
+				this.lifecycle, this.connections);
+		Undertow.Builder builder = CallerLimitSystem.withOptions(Undertow.builder())
 			.setWorker(this.worker)
 			.setByteBufferPool(this.context.buffers)
-			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEAD_BYTES)
-			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
-			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MILLIS)
-			.setServerOption(UndertowOptions.DECODE_URL, false)
-			.setServerOption(UndertowOptions.ENABLE_HTTP2, false)
 			.setSocketOption(Options.BACKLOG, BACKLOG)
 			.setSocketOption(Options.TCP_NODELAY, true);
 		listen(builder, this.context.settings.callerAddress(), ingress);
@@ -159,6 +147,8 @@
 		});
 		this.server = builder.build();
 		this.server.start();
+		this.callerLimits = new CallerLimitSystem(this.context, this.configuration, this.connections,
+				this.server.getListenerInfo().get(0));
 		this.context.log.change("started", Map.of("instance", this.context.settings.instanceId(), "data-centre",
 				this.context.settings.dataCentre(), "callers", this.context.settings.callerAddress()));
 		this.context.ioThread.execute(this::startFeeds);
@@ -207,6 +197,7 @@
 		this.servers.tick(now);
 		this.peers.addLoads(this.servers, now);
 		this.flow.streams().reportStalls();
+		this.callerLimits.tick(now);
 		this.context.metrics.state(this.servers.all().stream().filter(ServerEntry::mayReceive).count(),
 				this.configuration.ageMillis());
 		this.context.time.after(TICK_MILLIS, this::tick);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -8,6 +8,7 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -59,24 +60,39 @@
 
 	private final Lifecycle lifecycle;
 
+	private final CallerConnections connections;
+
 	IngressHandler(GatewayContext context, ConfigurationFeed configuration, CallFlow flow, CallEndings endings,
-			Lifecycle lifecycle) {
+			Lifecycle lifecycle, CallerConnections connections) {
 		this.context = context;
 		this.configuration = configuration;
 		this.flow = flow;
 		this.endings = endings;
 		this.lifecycle = lifecycle;
+		this.connections = connections;
 	}
 
 	@Override
 	public void handleRequest(HttpServerExchange exchange) {
 		long arrived = this.context.time.nowMillis();
+		follow(exchange);
 		if (this.lifecycle.stopping()) {
 			exchange.setPersistent(false);
 		}
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> received(exchange, arrived));
 	}
 
+	private void follow(HttpServerExchange exchange) {
+		ServerConnection connection = exchange.getConnection();
+		if (this.connections.requestArrived(connection)) {
+			connection.addCloseListener((closed) -> this.connections.ended(closed).ifPresent(this.endings::callerLeft));
+		}
+		exchange.addExchangeCompleteListener((done, next) -> {
+			this.connections.answered(connection, this.context.time.nowMillis());
+			next.proceed();
+		});
+	}
+
 	private void received(HttpServerExchange exchange, long arrived) {
 		Optional<RequestHead> head = ambiguousLength(exchange) ? Optional.empty()
 				: this.context.callers.decode(exchange.getRequestHeaders());
@@ -162,10 +178,15 @@
 			return;
 		}
 		int priority = workspace.map(WorkspaceSpec::priority).orElse(OptionalInt.empty()).orElse(route.priority());
-		readBody(exchange, table, (body) -> this.flow.begin(new Call(exchange, head, route, service.get(),
+		readBody(exchange, table, (body) -> begin(new Call(exchange, head, route, service.get(),
 				workspace.map(WorkspaceSpec::name), priority, body, forwarded(exchange), arrived)), head);
 	}
 
+	private void begin(Call call) {
+		this.connections.serves(call.exchange.getConnection(), call);
+		this.flow.begin(call);
+	}
+
 	private void readBody(HttpServerExchange exchange, RoutingTable table, Consumer<byte[]> whole, RequestHead head) {
 		TimeSource.Timer timer = this.context.time.after(table.limits().idleTimeoutMillis(), () -> {
 			exchange.setPersistent(false);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -50,8 +50,6 @@
 
 	private final ServerTable servers;
 
-	private long sequence;
-
 	private boolean telling;
 
 	private TimeSource.Timer nextTelling;
@@ -157,7 +155,6 @@
 		if (this.nextTelling != null) {
 			this.nextTelling.remove();
 		}
-		this.sequence++;
 		List<PeerLoad.ServerLoad> loads = this.servers.all()
 			.stream()
 			.filter((entry) -> !entry.attempts.isEmpty() || entry.promisedTokens > 0)
@@ -165,7 +162,7 @@
 					entry.unreadTokens))
 			.toList();
 		String text = this.gson
-			.toJson(new PeerLoad(this.context.settings.instanceId(), this.sequence, loads, this.servers.draining()));
+			.toJson(new PeerLoad(this.context.settings.instanceId(), loads, this.servers.draining()));
 		TextRequest request = new TextRequest(Methods.POST, PATH, Optional.of(text));
 		this.peers.all()
 			.values()
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
@@ -6,11 +6,10 @@
  * What an instance tells its peers of the requests it has placed.
  *
  * @param instanceId name of the instance
- * @param sequence number of the message, rising
  * @param loads load placed on each server
  * @param draining servers listed as about to leave
  */
-record PeerLoad(String instanceId, long sequence, List<ServerLoad> loads, List<String> draining) {
+record PeerLoad(String instanceId, List<ServerLoad> loads, List<String> draining) {
 
 	/**
 	 * Load that one instance has placed on a server.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
@@ -90,8 +90,6 @@
 
 		List<PeerLoad.ServerLoad> loads = List.of();
 
-		long sequence;
-
 		long heardMillis = Long.MIN_VALUE / 2;
 
 		PeerEntry(String address) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/EngineSpec.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/EngineSpec.java
@@ -7,7 +7,6 @@
  * @param memoryTokens memory of a server, in tokens
  * @param moves whether a running generation can be copied to another server
  * @param backups whether a running generation can be copied as it grows
- * @param tokensPerEvent number of tokens in one event of a stream
  */
-public record EngineSpec(int slots, long memoryTokens, boolean moves, boolean backups, int tokensPerEvent) {
+public record EngineSpec(int slots, long memoryTokens, boolean moves, boolean backups) {
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/EventSplitter.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/EventSplitter.java
@@ -49,11 +49,6 @@
 		return Arrays.copyOf(this.buffer, this.length);
 	}
 
-	/** Forgets what has arrived of an event that isn't complete. */
-	public void discardRest() {
-		this.length = 0;
-	}
-
 	private void split(Consumer<StreamEvent> whole) {
 		int start = 0;
 		int position = 1;
