Pass load between many instances through relays

Cause: each instance told all others of each placement, on a connection of its own: with 74 instances some 110 calls a second in and as many out, on 0.36 cores.

Up to 12 instances nothing changes. Above that two relays in each data centre, those with most cores, tell each other; any other instance tells one relay, which answers with what all others have placed. An instance that is no relay asks before it places or carries over a generation (40 ms at most), so that it doesn't decide by a view a second old. Messages of an instance are constant; those of a relay grow with its share of its data centre.

Weighed: rumours to a few peers (each placement must still reach everyone: 3 KB/s at 74 instances, and views of a second); reports of the engines (priced as probes, older than our own knowledge); groups of instances with engines of their own (no exchange between groups, so a group of busy callers is overloaded while others idle).

--- a/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
@@ -21,10 +21,11 @@
  * @param retryExtra repeats allowed besides, for all instances
  * @param retryWindowMillis window in which repeats are counted
  * @param coldExtra requests a second that a cold server bears beyond its rate
+ * @param cores processor cores the instance may use
  */
 public record GatewaySettings(String instanceId, String dataCentre, String callerAddress, String readyAddress,
 		String metricsAddress, String peerAddress, long revocationMillis, long shutdownGraceMillis, double retryRatio,
-		double retryExtra, long retryWindowMillis, double coldExtra) {
+		double retryExtra, long retryWindowMillis, double coldExtra, double cores) {
 
 	/**
 	 * Starts settings with the usual bounds.
@@ -65,6 +66,8 @@
 
 		private double coldExtra = 5;
 
+		private double cores = 1;
+
 		private Builder(String instanceId, String dataCentre) {
 			this.instanceId = Objects.requireNonNull(instanceId, "instanceId");
 			this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
@@ -154,6 +157,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets the processor cores the instance may use; the instances with most of them
+		 * pass load on between the others.
+		 * @param count number of cores, a fraction on small machines
+		 * @return this builder
+		 */
+		public Builder cores(double count) {
+			this.cores = count;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
@@ -161,7 +175,7 @@
 		public GatewaySettings build() {
 			return new GatewaySettings(this.instanceId, this.dataCentre, this.callerAddress, this.readyAddress,
 					this.metricsAddress, this.peerAddress, this.revocationMillis, this.shutdownGraceMillis,
-					this.retryRatio, this.retryExtra, this.retryWindowMillis, this.coldExtra);
+					this.retryRatio, this.retryExtra, this.retryWindowMillis, this.coldExtra, this.cores);
 		}
 
 		private static long positive(String name, long value) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallFlow.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.http.CallOutcome;
 import org.skylarkspring.gateway.http.ServerCall;
@@ -47,6 +48,8 @@
 
 	private CarryOverSystem carryOvers;
 
+	private Consumer<Runnable> loadRefresh = Runnable::run;
+
 	private Runnable onGenerationPlaced = () -> {
 	};
 
@@ -69,8 +72,14 @@
 		return this.streams;
 	}
 
-	void onGenerationPlaced(Runnable listener) {
-		this.onGenerationPlaced = listener;
+	/**
+	 * Sets the exchange of load with other instances.
+	 * @param refresh runs a decision once the load of others is known
+	 * @param placed called when a generation was placed
+	 */
+	void loadExchange(Consumer<Runnable> refresh, Runnable placed) {
+		this.loadRefresh = refresh;
+		this.onGenerationPlaced = placed;
 	}
 
 	/**
@@ -88,7 +97,18 @@
 		call.watch = CallerWatch.start(call.exchange, () -> this.endings.callerLeft(call));
 		call.deadlineTimer = this.context.time.after(call.deadlineMillis - this.context.time.nowMillis(),
 				() -> this.endings.deadlinePassed(call));
-		place(call);
+		if (call.promisedTokens > 0) {
+			this.loadRefresh.accept(() -> placeUnlessEnded(call));
+		}
+		else {
+			place(call);
+		}
+	}
+
+	private void placeUnlessEnded(Call call) {
+		if (!call.finished) {
+			place(call);
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
@@ -63,8 +63,6 @@
 	 * @param entry the server
 	 */
 	void serverLeaves(ServerEntry entry) {
-		this.context.log.change("server leaves",
-				Map.of("server", entry.listing.id(), "removed", entry.removed, "running", entry.attempts.size()));
 		List.copyOf(entry.attempts).forEach(this::begin);
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -22,6 +22,7 @@
 import org.skylarkspring.gateway.model.ObjectChange;
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.StoredObject;
+import org.skylarkspring.gateway.policy.Member;
 import org.skylarkspring.gateway.policy.PlacementCosts;
 import org.skylarkspring.gateway.port.CallerProtocol;
 import org.skylarkspring.gateway.port.ObjectDecoder;
@@ -79,6 +80,8 @@
 
 	private final PeerExchange peerExchange;
 
+	private final InstanceDirectory directory;
+
 	private final CallerConnections connections = new CallerConnections();
 
 	private final Set<String> evacuated = new HashSet<>();
@@ -112,7 +115,8 @@
 		this.configuration = new ConfigurationFeed(this.store, decoder, this.context.time, this.context.log,
 				settings.revocationMillis());
 		this.servers = new ServerTable(this::serverLeaves);
-		this.peers = new PeerTable(settings.instanceId(), settings.coldExtra());
+		this.peers = new PeerTable(new Member(settings.instanceId(), settings.dataCentre(), settings.cores()),
+				settings.coldExtra());
 		this.placer = new Placer(this.context, this.servers, this.peers, this.reach, PlacementCosts.leastLoaded());
 		this.endings = new CallEndings(this.context, this.configuration);
 		this.flow = new CallFlow(this.context, this.configuration, this.placer,
@@ -122,8 +126,9 @@
 		this.endings.onEnded(this.carryOvers::ended);
 		this.lifecycle = new Lifecycle(this.context.time, this.context.log, settings.shutdownGraceMillis(),
 				this.configuration, this.servers);
-		this.peerExchange = new PeerExchange(this.context, this.store, this.peers, this.servers);
-		this.flow.onGenerationPlaced(this.peerExchange::placed);
+		this.peerExchange = new PeerExchange(this.context, this.peers, this.servers);
+		this.directory = new InstanceDirectory(this.context, this.store, this.peers);
+		this.flow.loadExchange(this.peerExchange::refresh, this.peerExchange::placed);
 	}
 
 	/** Starts the listeners and the feeds. */
@@ -160,7 +165,7 @@
 	 */
 	public void stop(Runnable exit) {
 		this.context.ioThread.execute(() -> {
-			this.peerExchange.leave();
+			this.directory.leave();
 			this.lifecycle.stop(() -> this.endings.calls().size(), exit);
 		});
 	}
@@ -182,7 +187,8 @@
 		this.configuration.start();
 		follow(ObjectKind.SERVERS, SERVER_WATCH_MILLIS, new ServerListener());
 		follow(ObjectKind.EVACUATIONS, EVACUATION_WATCH_MILLIS, new EvacuationListener());
-		follow(ObjectKind.INSTANCES, INSTANCE_WATCH_MILLIS, this.peerExchange);
+		follow(ObjectKind.INSTANCES, INSTANCE_WATCH_MILLIS, this.directory);
+		this.directory.announce();
 		this.peerExchange.start();
 		new LeaveProbe(this.context, this.configuration, this.servers).start();
 		tick();
@@ -204,7 +210,11 @@
 	}
 
 	private void serverLeaves(ServerEntry entry) {
-		this.carryOvers.serverLeaves(entry);
+		this.context.log.change("server leaves",
+				Map.of("server", entry.listing.id(), "removed", entry.removed, "running", entry.attempts.size()));
+		if (!entry.attempts.isEmpty()) {
+			this.peerExchange.refresh(() -> this.carryOvers.serverLeaves(entry));
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -3,26 +3,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import com.google.gson.Gson;
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
 import com.google.gson.JsonSyntaxException;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 
 import org.skylarkspring.gateway.http.TextRequest;
-import org.skylarkspring.gateway.model.ObjectChange;
-import org.skylarkspring.gateway.model.ObjectKind;
-import org.skylarkspring.gateway.model.StoreResult;
-import org.skylarkspring.gateway.model.StoredObject;
-import org.skylarkspring.gateway.port.ObjectStore;
+import org.skylarkspring.gateway.http.TextResult;
 
 /**
- * Makes instances known to each other through the store and tells the peers what this
- * instance has placed on each server.
+ * Exchanges with peers what was placed on each server. Relays tell each other; any other
+ * instance tells one relay, which answers with what all others have placed.
  */
-final class PeerExchange implements KindWatch.Listener {
+final class PeerExchange {
 
 	static final String PATH = "/peer-load";
 
@@ -34,7 +30,10 @@
 
 	private static final long TIMEOUT_MILLIS = 500;
 
-	private static final long WRITE_RETRY_MILLIS = 1_000;
+	/** Many times a round trip between data centres; a placement waits no longer. */
+	private static final long REFRESH_TIMEOUT_MILLIS = 40;
+
+	private static final int OK = 200;
 
 	private static final int BAD_REQUEST = 400;
 
@@ -44,8 +43,6 @@
 
 	private final GatewayContext context;
 
-	private final ObjectStore store;
-
 	private final PeerTable peers;
 
 	private final ServerTable servers;
@@ -54,100 +51,87 @@
 
 	private TimeSource.Timer nextTelling;
 
-	PeerExchange(GatewayContext context, ObjectStore store, PeerTable peers, ServerTable servers) {
+	PeerExchange(GatewayContext context, PeerTable peers, ServerTable servers) {
 		this.context = context;
-		this.store = store;
 		this.peers = peers;
 		this.servers = servers;
 	}
 
 	void start() {
-		announce();
 		tell();
 	}
 
-	/** Removes this instance from the list of instances. */
-	void leave() {
-		this.store.remove(ObjectKind.INSTANCES, this.context.settings.instanceId(), (result) -> this.context.log
-			.change("instance removed from the list", Map.of("result", result.getClass().getSimpleName())));
-	}
-
-	@Override
-	public void listed(List<StoredObject> all, boolean afterOutage) {
-		this.peers.all().keySet().retainAll(all.stream().map(StoredObject::name).toList());
-		all.forEach(this::put);
+	/** Tells the peers soon that load was placed. */
+	void placed() {
+		if (!this.telling) {
+			this.telling = true;
+			this.context.time.after(GATHER_MILLIS, this::tell);
+		}
 	}
 
-	@Override
-	public void changed(ObjectChange change) {
-		if (change.deleted()) {
-			this.peers.all().remove(change.object().name());
-		}
-		else {
-			put(change.object());
+	/**
+	 * Learns what others have placed, then decides. A relay is told of each placement and
+	 * decides at once.
+	 * @param decision the decision
+	 */
+	void refresh(Runnable decision) {
+		if (this.peers.relay()) {
+			decision.run();
+			return;
 		}
+		boolean[] decided = { false };
+		Runnable once = () -> {
+			if (!decided[0]) {
+				decided[0] = true;
+				decision.run();
+			}
+		};
+		this.context.time.after(REFRESH_TIMEOUT_MILLIS, once);
+		tellOwnRelay(once);
 	}
 
 	void receive(HttpServerExchange exchange) {
 		exchange.getRequestReceiver().receiveFullString((received, text) -> {
-			received.setStatusCode(take(text) ? NO_CONTENT : BAD_REQUEST);
-			received.endExchange();
+			Optional<PeerLoad> load = parse(text);
+			if (load.isEmpty()) {
+				received.setStatusCode(BAD_REQUEST);
+				received.endExchange();
+				return;
+			}
+			take(load.get());
+			if (load.get().relay()) {
+				received.setStatusCode(NO_CONTENT);
+				received.endExchange();
+				return;
+			}
+			received.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+			received.getResponseSender().send(answerTo(load.get().instanceId()));
 		});
 	}
 
-	private boolean take(String text) {
+	private Optional<PeerLoad> parse(String text) {
 		try {
-			PeerLoad load = this.gson.fromJson(text, PeerLoad.class);
-			if (load == null || load.instanceId() == null || load.loads() == null || load.draining() == null) {
-				return false;
-			}
-			PeerTable.PeerEntry peer = this.peers.all().get(load.instanceId());
-			load.draining().forEach(this.servers::noticedLeaving);
-			if (peer != null) {
-				peer.loads = load.loads();
-				peer.heardMillis = this.context.time.nowMillis();
-				this.peers.addLoads(this.servers, peer.heardMillis);
-			}
-			return true;
+			return Optional.ofNullable(this.gson.fromJson(text, PeerLoad.class)).filter(PeerLoad::complete);
 		}
 		catch (JsonSyntaxException ex) {
 			this.context.log.change("message of a peer can't be read", Map.of("reason", String.valueOf(ex)));
-			return false;
+			return Optional.empty();
 		}
 	}
 
-	private void announce() {
-		JsonObject content = new JsonObject();
-		content.addProperty("peerAddress", this.context.settings.peerAddress());
-		this.store.write(ObjectKind.INSTANCES, this.context.settings.instanceId(), content.toString(), (result) -> {
-			if (!(result instanceof StoreResult.Written)) {
-				this.context.log.change("instance not announced", Map.of("result", String.valueOf(result)));
-				this.context.time.after(WRITE_RETRY_MILLIS, this::announce);
-			}
-		});
-	}
-
-	private void put(StoredObject object) {
-		if (object.name().equals(this.context.settings.instanceId())) {
-			return;
+	private void take(PeerLoad load) {
+		long now = this.context.time.nowMillis();
+		load.draining().forEach(this.servers::noticedLeaving);
+		boolean changed = this.peers.told(load, now);
+		this.peers.addLoads(this.servers, now);
+		if (changed && !load.relay()) {
+			placed();
 		}
-		Optional.ofNullable(object.content().get("peerAddress"))
-			.filter(JsonElement::isJsonPrimitive)
-			.map(JsonElement::getAsString)
-			.ifPresent((address) -> {
-				PeerTable.PeerEntry known = this.peers.all().get(object.name());
-				if (known == null || !known.address.equals(address)) {
-					this.peers.all().put(object.name(), new PeerTable.PeerEntry(address));
-				}
-			});
 	}
 
-	/** Tells the peers soon that a generation was placed. */
-	void placed() {
-		if (!this.telling) {
-			this.telling = true;
-			this.context.time.after(GATHER_MILLIS, this::tell);
-		}
+	private String answerTo(String instanceId) {
+		Stream<PeerLoad.ServerLoad> others = this.peers.loadsBut(instanceId, this.context.time.nowMillis());
+		return message(true, Stream.concat(ownLoads(), others));
 	}
 
 	private void tell() {
@@ -155,20 +139,67 @@
 		if (this.nextTelling != null) {
 			this.nextTelling.remove();
 		}
-		List<PeerLoad.ServerLoad> loads = this.servers.all()
+		if (this.peers.relay()) {
+			tellRelays();
+		}
+		else {
+			tellOwnRelay(() -> {
+			});
+		}
+		this.nextTelling = this.context.time.after(INTERVAL_MILLIS, this::tell);
+	}
+
+	private void tellRelays() {
+		Stream<PeerLoad.ServerLoad> passedOn = this.peers.loadsToPassOn(this.context.time.nowMillis());
+		TextRequest request = request(message(true, Stream.concat(ownLoads(), passedOn)));
+		this.peers.otherRelays()
+			.forEach((peer) -> this.context.client.call(peer.address, request, TIMEOUT_MILLIS,
+					(result) -> this.context.metrics.decision("peer told")));
+	}
+
+	private void tellOwnRelay(Runnable then) {
+		Optional<PeerTable.PeerEntry> relay = this.peers.ownRelay(this.context.time.nowMillis());
+		if (relay.isEmpty()) {
+			then.run();
+			return;
+		}
+		this.context.client.call(relay.get().address, request(message(false, ownLoads())), TIMEOUT_MILLIS, (result) -> {
+			answered(relay.get(), result);
+			then.run();
+		});
+	}
+
+	private void answered(PeerTable.PeerEntry relay, TextResult result) {
+		this.context.metrics.decision("relay told");
+		long now = this.context.time.nowMillis();
+		Optional<PeerLoad> load = (result instanceof TextResult.Answered answer && answer.status() == OK)
+				? parse(answer.body()) : Optional.empty();
+		if (load.isEmpty()) {
+			this.peers.silent(relay, now);
+			this.context.log.change("relay silent",
+					Map.of("relay", relay.member.instanceId(), "result", String.valueOf(result)));
+			return;
+		}
+		load.get().draining().forEach(this.servers::noticedLeaving);
+		this.peers.toldByRelay(load.get(), now);
+		this.peers.addLoads(this.servers, now);
+	}
+
+	private Stream<PeerLoad.ServerLoad> ownLoads() {
+		return this.servers.all()
 			.stream()
 			.filter((entry) -> !entry.attempts.isEmpty() || entry.promisedTokens > 0)
 			.map((entry) -> new PeerLoad.ServerLoad(entry.listing.id(), entry.attempts.size(), entry.promisedTokens,
-					entry.unreadTokens))
-			.toList();
-		String text = this.gson
-			.toJson(new PeerLoad(this.context.settings.instanceId(), loads, this.servers.draining()));
-		TextRequest request = new TextRequest(Methods.POST, PATH, Optional.of(text));
-		this.peers.all()
-			.values()
-			.forEach((peer) -> this.context.client.call(peer.address, request, TIMEOUT_MILLIS,
-					(result) -> this.context.metrics.decision("peer told")));
-		this.nextTelling = this.context.time.after(INTERVAL_MILLIS, this::tell);
+					entry.unreadTokens));
+	}
+
+	private String message(boolean relay, Stream<PeerLoad.ServerLoad> loads) {
+		List<PeerLoad.ServerLoad> sums = PeerTable.sum(loads);
+		return this.gson.toJson(new PeerLoad(this.context.settings.instanceId(), relay, sums, this.servers.draining()));
+	}
+
+	private static TextRequest request(String text) {
+		return new TextRequest(Methods.POST, PATH, Optional.of(text));
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
@@ -3,16 +3,22 @@
 import java.util.List;
 
 /**
- * What an instance tells its peers of the requests it has placed.
+ * What an instance tells another one of the requests placed.
  *
- * @param instanceId name of the instance
+ * @param instanceId name of the instance that tells
+ * @param relay whether the loads are those of several instances, which the teller passes
+ * on
  * @param loads load placed on each server
  * @param draining servers listed as about to leave
  */
-record PeerLoad(String instanceId, List<ServerLoad> loads, List<String> draining) {
+record PeerLoad(String instanceId, boolean relay, List<ServerLoad> loads, List<String> draining) {
+
+	boolean complete() {
+		return this.instanceId != null && this.loads != null && this.draining != null;
+	}
 
 	/**
-	 * Load that one instance has placed on a server.
+	 * Load placed on a server.
 	 *
 	 * @param serverId name of the server
 	 * @param running number of requests
@@ -20,6 +26,12 @@
 	 * @param unreadTokens prompt tokens of those not answered yet
 	 */
 	record ServerLoad(String serverId, int running, long promisedTokens, long unreadTokens) {
+
+		ServerLoad plus(ServerLoad other) {
+			return new ServerLoad(this.serverId, this.running + other.running,
+					this.promisedTokens + other.promisedTokens, this.unreadTokens + other.unreadTokens);
+		}
+
 	}
 
 }
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/RelaySelection.java
@@ -0,0 +1,57 @@
+package org.skylarkspring.gateway.policy;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.skylarkspring.core.hash.RendezvousHash;
+
+/**
+ * Chooses the instances that pass load on between the others, so that the messages of an
+ * instance don't grow with the number of instances. All instances with the same list of
+ * members choose the same. <pre class="code">
+ * Set&lt;String&gt; relays = RelaySelection.choose(members);
+ * </pre>
+ */
+public final class RelaySelection {
+
+	/** Up to this number of members all tell each other directly. */
+	static final int DIRECT_MEMBERS = 12;
+
+	/** Two, so that one may be away. */
+	static final int RELAYS_PER_DATA_CENTRE = 2;
+
+	private RelaySelection() {
+	}
+
+	/**
+	 * Chooses the relays: everybody while there are few members, else those with most
+	 * cores in each data centre.
+	 * @param members all members
+	 * @return names of the relays
+	 */
+	public static Set<String> choose(Collection<Member> members) {
+		if (members.size() <= DIRECT_MEMBERS) {
+			return members.stream().map(Member::instanceId).collect(Collectors.toUnmodifiableSet());
+		}
+		return members.stream()
+			.collect(Collectors.groupingBy(Member::dataCentre))
+			.values()
+			.stream()
+			.flatMap((group) -> strongest(group).stream())
+			.map(Member::instanceId)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	private static List<Member> strongest(List<Member> group) {
+		return group.stream()
+			.sorted(Comparator.comparingDouble(Member::cores)
+				.reversed()
+				.thenComparingLong((member) -> RendezvousHash.score(member.dataCentre(), member.instanceId())))
+			.limit(RELAYS_PER_DATA_CENTRE)
+			.toList();
+	}
+
+}
