--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.RoutingTable;
@@ -11,7 +12,6 @@
 import org.skylarkspring.gateway.model.StoredObject;
 import org.skylarkspring.gateway.policy.SuspensionDetector;
 import org.skylarkspring.gateway.port.ObjectDecoder;
-import org.skylarkspring.gateway.port.ObjectStore;
 
 /**
  * Keeps the newest configuration and the age of its last confirmation by the store. A
@@ -32,7 +32,9 @@
 	/** Time between reading the age and the arrival of the request at the server. */
 	private static final long AGE_MARGIN_MILLIS = 300;
 
-	private final ObjectStore store;
+	private final ObjectReader polls;
+
+	private final ObjectReader checks;
 
 	private final ObjectDecoder decoder;
 
@@ -44,7 +46,11 @@
 
 	private final SuspensionDetector suspensions = new SuspensionDetector();
 
-	private final List<Runnable> waiters = new ArrayList<>();
+	private final List<Runnable> checkWaiters = new ArrayList<>();
+
+	private final List<Runnable> pollWaiters = new ArrayList<>();
+
+	private StoredObject newest;
 
 	private RoutingTable table;
 
@@ -56,15 +62,27 @@
 
 	private boolean slow;
 
-	private boolean reading;
+	private boolean polling;
+
+	private boolean checking;
 
 	private int epoch;
 
 	private TimeSource.Timer nextPoll;
 
-	ConfigurationFeed(ObjectStore store, ObjectDecoder decoder, TimeSource time, DecisionLog log,
+	/**
+	 * Creates a feed that has read nothing yet.
+	 * @param polls reads the configuration in turn, perhaps through another instance
+	 * @param checks reads it from the store itself
+	 * @param decoder reads the object
+	 * @param time clocks and timers
+	 * @param log receives what changes
+	 * @param revocationMillis how long a key may be used after it was taken away
+	 */
+	ConfigurationFeed(ObjectReader polls, ObjectReader checks, ObjectDecoder decoder, TimeSource time, DecisionLog log,
 			long revocationMillis) {
-		this.store = store;
+		this.polls = polls;
+		this.checks = checks;
 		this.decoder = decoder;
 		this.time = time;
 		this.log = log;
@@ -72,8 +90,7 @@
 	}
 
 	void start() {
-		checkClocks();
-		read();
+		poll();
 	}
 
 	Optional<RoutingTable> table() {
@@ -94,12 +111,37 @@
 	}
 
 	/**
-	 * Runs a task after the next answer of the store, or its failure.
+	 * Returns the newest configuration as the store gave it, for others.
+	 * @return the object and its age, empty while it is not confirmed
+	 */
+	Optional<StoreResult.Listed> confirmedObject() {
+		checkClocks();
+		return this.confirmed
+				? Optional.of(new StoreResult.Listed(List.of(this.newest), this.newest.revision(), false, ageMillis()))
+				: Optional.empty();
+	}
+
+	/**
+	 * Asks the store itself and then runs a task, also if it does not answer.
 	 * @param task the task
 	 */
-	void afterNextRead(Runnable task) {
-		this.waiters.add(task);
-		read();
+	void afterNextCheck(Runnable task) {
+		this.checkWaiters.add(task);
+		if (!this.checking) {
+			this.checking = true;
+			read(this.checks, (result) -> {
+				this.checking = false;
+				run(this.checkWaiters);
+			});
+		}
+	}
+
+	/**
+	 * Runs a task after the next poll.
+	 * @param task the task
+	 */
+	void afterNextPoll(Runnable task) {
+		this.pollWaiters.add(task);
 	}
 
 	private void checkClocks() {
@@ -107,42 +149,67 @@
 			this.epoch++;
 			this.confirmed = false;
 			this.log.change("clocks moved apart, configuration is unconfirmed", Map.of("epoch", this.epoch));
-			this.reading = false;
-			read();
+			this.polling = false;
+			this.checking = false;
+			pollOnce();
 		}
 	}
 
-	private void read() {
-		if (this.reading) {
+	private void poll() {
+		checkClocks();
+		pollOnce();
+	}
+
+	private void pollOnce() {
+		if (this.polling) {
 			return;
 		}
-		this.reading = true;
+		this.polling = true;
+		read(this.polls, (taken) -> {
+			this.polling = false;
+			run(this.pollWaiters);
+			if (this.nextPoll != null) {
+				this.nextPoll.remove();
+			}
+			this.nextPoll = this.time.after(taken ? POLL_MILLIS : RETRY_MILLIS, this::poll);
+		});
+	}
+
+	// Answers to what was asked before the clocks moved apart are dropped: the time they
+	// took is not known.
+	private void read(ObjectReader reader, Consumer<Boolean> done) {
 		int startedEpoch = this.epoch;
 		long startedMillis = this.time.nowMillis();
-		this.store.read(ObjectKind.CONFIGURATION, NAME, (result) -> {
+		reader.read(ObjectKind.CONFIGURATION, NAME, (result) -> {
 			if (startedEpoch == this.epoch) {
-				this.reading = false;
-				answered(result, startedMillis);
+				done.accept(answered(result, startedMillis));
 			}
 		});
 	}
 
-	private void answered(StoreResult result, long startedMillis) {
-		boolean taken = result instanceof StoreResult.Listed listed && !listed.objects().isEmpty()
-				&& take(listed.objects().get(0), startedMillis);
+	private static void run(List<Runnable> waiting) {
+		List<Runnable> tasks = List.copyOf(waiting);
+		waiting.clear();
+		tasks.forEach(Runnable::run);
+	}
+
+	private boolean answered(StoreResult result, long startedMillis) {
+		Optional<StoreResult.Listed> listed = Optional.of(result)
+			.filter(StoreResult.Listed.class::isInstance)
+			.map(StoreResult.Listed.class::cast)
+			.filter((found) -> !found.objects().isEmpty());
+		boolean taken = listed.isPresent()
+				&& take(listed.get().objects().get(0), startedMillis - listed.get().ageMillis());
 		if (taken == this.failing) {
 			this.failing = !taken;
 			this.log.change(taken ? "configuration confirmed again" : "configuration not confirmed",
 					Map.of("result", taken ? "read" : String.valueOf(result), "age-millis", ageMillis()));
 		}
-		noteSpeed(this.time.nowMillis() - startedMillis);
-		List<Runnable> waiting = List.copyOf(this.waiters);
-		this.waiters.clear();
-		waiting.forEach(Runnable::run);
-		if (this.nextPoll != null) {
-			this.nextPoll.remove();
+		// A call that waited at another instance tells nothing about the store.
+		if (listed.isEmpty() || listed.get().ageMillis() == 0) {
+			noteSpeed(this.time.nowMillis() - startedMillis);
 		}
-		this.nextPoll = this.time.after(taken ? POLL_MILLIS : RETRY_MILLIS, this::poll);
+		return taken;
 	}
 
 	private void noteSpeed(long answerMillis) {
@@ -153,12 +220,7 @@
 		}
 	}
 
-	private void poll() {
-		checkClocks();
-		read();
-	}
-
-	private boolean take(StoredObject object, long startedMillis) {
+	private boolean take(StoredObject object, long confirmedAtMillis) {
 		Optional<RoutingTable> read = this.decoder.routingTable(object);
 		if (read.isEmpty()) {
 			return false;
@@ -167,9 +229,30 @@
 			this.table = read.get();
 			this.log.change("configuration in force", Map.of("version", this.table.version()));
 		}
+		boolean wasConfirmed = this.confirmed;
 		this.confirmed = read.get().version() == this.table.version();
-		this.confirmedMillis = startedMillis;
+		if (this.confirmed) {
+			this.newest = object;
+			this.confirmedMillis = wasConfirmed ? Math.max(this.confirmedMillis, confirmedAtMillis) : confirmedAtMillis;
+		}
 		return this.confirmed;
 	}
 
+	/**
+	 * Reads an object.
+	 */
+	@FunctionalInterface
+	interface ObjectReader {
+
+		/**
+		 * Reads an object.
+		 * @param kind kind of the object
+		 * @param name name of the object
+		 * @param result receives {@code Listed} with one object, {@code Missing} or
+		 * {@code Failed}
+		 */
+		void read(ObjectKind kind, String name, Consumer<StoreResult> result);
+
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Function;
 
+import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
@@ -56,6 +57,10 @@
 
 	private final ObjectStore store;
 
+	private final SharedStore sharedStore;
+
+	private final StoreRelay storeRelay;
+
 	private final ObjectDecoder decoder;
 
 	private final XnioWorker worker;
@@ -112,11 +117,13 @@
 		this.context = new GatewayContext(settings, this.worker.getIoThread(0), buffers, callers, serverProtocol);
 		this.store = storeFactory.apply(this.context.client);
 		this.decoder = decoder;
-		this.configuration = new ConfigurationFeed(this.store, decoder, this.context.time, this.context.log,
-				settings.revocationMillis());
-		this.servers = new ServerTable(this::serverLeaves);
 		this.peers = new PeerTable(new Member(settings.instanceId(), settings.dataCentre(), settings.cores()),
 				settings.coldExtra());
+		this.sharedStore = new SharedStore(this.store, this.context, this.peers);
+		this.configuration = new ConfigurationFeed(this.sharedStore::read, this.sharedStore::readDirectly, decoder,
+				this.context.time, this.context.log, settings.revocationMillis());
+		this.storeRelay = new StoreRelay(this.context, this.configuration);
+		this.servers = new ServerTable(this::serverLeaves);
 		this.placer = new Placer(this.context, this.servers, this.peers, this.reach, PlacementCosts.leastLoaded());
 		this.endings = new CallEndings(this.context, this.configuration);
 		this.flow = new CallFlow(this.context, this.configuration, this.placer,
@@ -145,7 +152,8 @@
 			exchange.setStatusCode(this.lifecycle.ready() ? OK : UNAVAILABLE);
 			exchange.endExchange();
 		});
-		listen(builder, this.context.settings.peerAddress(), this.peerExchange::receive);
+		listen(builder, this.context.settings.peerAddress(),
+				Handlers.path(this.peerExchange::receive).addExactPath(StoreRelay.PATH, this.storeRelay::receive));
 		listen(builder, this.context.settings.metricsAddress(), (exchange) -> {
 			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
 			exchange.getResponseSender().send(java.nio.ByteBuffer.wrap(this.context.metrics.text()));
@@ -195,7 +203,9 @@
 	}
 
 	private void follow(ObjectKind kind, long waitMillis, KindWatch.Listener listener) {
-		new KindWatch(this.store, this.context.time, this.context.log, kind, waitMillis, listener).start();
+		KindCopy copy = this.storeRelay.copy(kind);
+		new KindWatch(this.sharedStore, this.context.time, this.context.log, kind, waitMillis, copy.before(listener))
+			.start();
 	}
 
 	private void tick() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -148,7 +148,7 @@
 			}
 		};
 		this.context.time.after(CONFIRMATION_WAIT_MILLIS, decide);
-		this.configuration.afterNextRead(decide);
+		this.configuration.afterNextCheck(decide);
 	}
 
 	private void admit(HttpServerExchange exchange, RequestHead head, RoutingTable table, RouteSpec route,
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/KindWatch.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/KindWatch.java
@@ -109,6 +109,7 @@
 		if (this.failingSinceMillis < 0) {
 			this.failingSinceMillis = this.time.nowMillis();
 			this.log.change("store lost", Map.of("kind", this.kind, "result", String.valueOf(result)));
+			this.listener.lost();
 			// A watch may have been cut alone; the list tells at once what was missed.
 			start();
 			return;
@@ -135,6 +136,10 @@
 		 */
 		void changed(ObjectChange change);
 
+		/** The objects can't be followed for now; a list comes once they can. */
+		default void lost() {
+		}
+
 	}
 
 }
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedCall.java
@@ -0,0 +1,36 @@
+package org.skylarkspring.gateway.internal;
+
+import org.skylarkspring.gateway.model.ObjectKind;
+
+/**
+ * Asks a relay for what it has read from the platform's store.
+ *
+ * @param verb what is asked
+ * @param kind kind of the objects
+ * @param source life of the relay whose revisions are meant, empty for none
+ * @param revision revision after which changes count
+ * @param waitMillis longest time to wait for one
+ */
+record RelayedCall(Verb verb, ObjectKind kind, String source, long revision, long waitMillis) {
+
+	boolean complete() {
+		return this.verb != null && this.kind != null && this.source != null;
+	}
+
+	/**
+	 * What is asked.
+	 */
+	enum Verb {
+
+		/** The configuration, at once if it is newer than the revision. */
+		READ,
+
+		/** All objects of the kind. */
+		LIST,
+
+		/** The changes after the revision. */
+		WATCH
+
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/StoreResult.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/StoreResult.java
@@ -13,8 +13,21 @@
 	 * @param objects the objects of this page
 	 * @param revision the store's revision
 	 * @param more whether another page follows
+	 * @param ageMillis time from the store's confirmation to the call, negative if it was
+	 * confirmed while the call waited
 	 */
-	record Listed(List<StoredObject> objects, long revision, boolean more) implements StoreResult {
+	record Listed(List<StoredObject> objects, long revision, boolean more, long ageMillis) implements StoreResult {
+
+		/**
+		 * Creates a page that the store itself has answered.
+		 * @param objects the objects of this page
+		 * @param revision the store's revision
+		 * @param more whether another page follows
+		 */
+		public Listed(List<StoredObject> objects, long revision, boolean more) {
+			this(objects, revision, more, 0);
+		}
+
 	}
 
 	/**
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ConfigurationFeedTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ConfigurationFeedTests.java
@@ -24,8 +24,8 @@
 
 	private final VirtualTime time = new VirtualTime();
 
-	private final ConfigurationFeed feed = new ConfigurationFeed(this.store, new VersionDecoder(), this.time,
-			new DecisionLog(), REVOCATION_MILLIS);
+	private final ConfigurationFeed feed = new ConfigurationFeed(this.store::read, this.store::read,
+			new VersionDecoder(), this.time, new DecisionLog(), REVOCATION_MILLIS);
 
 	@BeforeEach
 	void readFirstVersion() {
@@ -102,7 +102,7 @@
 		@Test
 		void askedForBetweenPollsDoNotAddPolls() {
 			for (int count = 0; count < 20; count++) {
-				ConfigurationFeedTests.this.feed.afterNextRead(() -> {
+				ConfigurationFeedTests.this.feed.afterNextCheck(() -> {
 				});
 				ConfigurationFeedTests.this.store.answer(version(7));
 			}
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/LifecycleTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/LifecycleTests.java
@@ -30,8 +30,8 @@
 	private final ServerTable servers = new ServerTable((entry) -> {
 	});
 
-	private final ConfigurationFeed configuration = new ConfigurationFeed(this.store, new VersionDecoder(), this.time,
-			this.log, 5_000);
+	private final ConfigurationFeed configuration = new ConfigurationFeed(this.store::read, this.store::read,
+			new VersionDecoder(), this.time, this.log, 5_000);
 
 	private final Lifecycle lifecycle = new Lifecycle(this.time, this.log, GRACE_MILLIS, this.configuration,
 			this.servers);
