--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -119,10 +119,12 @@
 		this.decoder = decoder;
 		this.peers = new PeerTable(new Member(settings.instanceId(), settings.dataCentre(), settings.cores()),
 				settings.coldExtra());
-		this.sharedStore = new SharedStore(this.store, this.context, this.peers);
+		this.sharedStore = new SharedStore(this.store, new HttpRelayCalls(this.context.client, this.context.log),
+				this.context.time, this.context.log, this.peers);
 		this.configuration = new ConfigurationFeed(this.sharedStore::read, this.sharedStore::readDirectly, decoder,
 				this.context.time, this.context.log, settings.revocationMillis());
-		this.storeRelay = new StoreRelay(this.context, this.configuration);
+		this.storeRelay = new StoreRelay(settings.instanceId(), this.context.time, this.context.log,
+				this.configuration);
 		this.servers = new ServerTable(this::serverLeaves);
 		this.placer = new Placer(this.context, this.servers, this.peers, this.reach, PlacementCosts.leastLoaded());
 		this.endings = new CallEndings(this.context, this.configuration);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/SharedStore.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/SharedStore.java
@@ -5,12 +5,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import com.google.gson.Gson;
-import com.google.gson.JsonSyntaxException;
-import io.undertow.util.Methods;
-
-import org.skylarkspring.gateway.http.TextRequest;
-import org.skylarkspring.gateway.http.TextResult;
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.StoreResult;
 import org.skylarkspring.gateway.port.ObjectStore;
@@ -31,11 +25,13 @@
 	/** Age above which the relay itself has lost touch. */
 	private static final long MAXIMUM_AGE_MILLIS = 1_300;
 
-	private final Gson gson = new Gson();
-
 	private final ObjectStore direct;
 
-	private final GatewayContext context;
+	private final RelayCalls calls;
+
+	private final TimeSource time;
+
+	private final DecisionLog log;
 
 	private final PeerTable peers;
 
@@ -46,9 +42,11 @@
 
 	private long configurationRevision = -1;
 
-	SharedStore(ObjectStore direct, GatewayContext context, PeerTable peers) {
+	SharedStore(ObjectStore direct, RelayCalls calls, TimeSource time, DecisionLog log, PeerTable peers) {
 		this.direct = direct;
-		this.context = context;
+		this.calls = calls;
+		this.time = time;
+		this.log = log;
 		this.peers = peers;
 	}
 
@@ -60,7 +58,7 @@
 			return;
 		}
 		RelayedCall call = new RelayedCall(RelayedCall.Verb.READ, kind, "", this.configurationRevision, 0);
-		ask(relay.get(), call, MAXIMUM_READ_MILLIS, (answer) -> {
+		this.calls.ask(relay.get().address, call, MAXIMUM_READ_MILLIS + TIMEOUT_MILLIS, (answer) -> {
 			Optional<RelayedAnswer> usable = answer.filter((found) -> found.outcome() == RelayedAnswer.Outcome.LISTED)
 				.filter((found) -> found.ageMillis() <= MAXIMUM_AGE_MILLIS);
 			if (usable.isEmpty()) {
@@ -103,7 +101,7 @@
 			return;
 		}
 		RelayedCall call = new RelayedCall(RelayedCall.Verb.LIST, kind, "", 0, 0);
-		ask(relay.get(), call, 0, (answer) -> {
+		this.calls.ask(relay.get().address, call, TIMEOUT_MILLIS, (answer) -> {
 			if (answer.filter((found) -> found.outcome() == RelayedAnswer.Outcome.LISTED).isPresent()) {
 				this.sources.put(kind, new Source(relay.get(), answer.get().source()));
 				result.accept(new StoreResult.Listed(answer.get().stored(), answer.get().revision(), false));
@@ -130,7 +128,7 @@
 		}
 		this.watching.put(kind, result);
 		RelayedCall call = new RelayedCall(RelayedCall.Verb.WATCH, kind, source.get().life(), revision, waitMillis);
-		ask(relay.get(), call, waitMillis, (answer) -> {
+		this.calls.ask(relay.get().address, call, waitMillis + TIMEOUT_MILLIS, (answer) -> {
 			if (this.watching.remove(kind, result)) {
 				result.accept(watched(relay.get(), kind, answer));
 			}
@@ -158,41 +156,20 @@
 	}
 
 	private Optional<PeerTable.PeerEntry> relay() {
-		return this.peers.relay() ? Optional.empty() : this.peers.ownRelay(this.context.time.nowMillis());
+		return this.peers.relay() ? Optional.empty() : this.peers.ownRelay(this.time.nowMillis());
 	}
 
 	// What the relay was asked to wait for is looked up elsewhere at once.
 	private void relayFailed(PeerTable.PeerEntry relay, ObjectKind kind, Optional<RelayedAnswer> answer) {
-		this.context.log.change("relay does not tell what the store holds",
+		this.log.change("relay does not tell what the store holds",
 				Map.of("relay", relay.member.instanceId(), "kind", kind, "answer",
 						answer.map((found) -> found.outcome() + ", age " + found.ageMillis() + " ms").orElse("none")));
-		this.peers.silent(relay, this.context.time.nowMillis());
+		this.peers.silent(relay, this.time.nowMillis());
 		Map<ObjectKind, Consumer<StoreResult>> waiting = new EnumMap<>(this.watching);
 		this.watching.clear();
 		waiting.values().forEach((result) -> result.accept(new StoreResult.HistoryGone()));
 	}
 
-	private void ask(PeerTable.PeerEntry relay, RelayedCall call, long waitMillis,
-			Consumer<Optional<RelayedAnswer>> answer) {
-		TextRequest request = new TextRequest(Methods.POST, StoreRelay.PATH, Optional.of(this.gson.toJson(call)));
-		this.context.client.call(relay.address, request, waitMillis + TIMEOUT_MILLIS,
-				(result) -> answer.accept(parse(result)));
-	}
-
-	private Optional<RelayedAnswer> parse(TextResult result) {
-		if (!(result instanceof TextResult.Answered answered)) {
-			return Optional.empty();
-		}
-		try {
-			return Optional.ofNullable(this.gson.fromJson(answered.body(), RelayedAnswer.class))
-				.filter(RelayedAnswer::complete);
-		}
-		catch (JsonSyntaxException ex) {
-			this.context.log.change("answer of a relay can't be read", Map.of("reason", String.valueOf(ex)));
-			return Optional.empty();
-		}
-	}
-
 	/**
 	 * Where a list came from.
 	 *
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelay.java
@@ -41,10 +41,10 @@
 
 	private final ConfigurationFeed configuration;
 
-	StoreRelay(GatewayContext context, ConfigurationFeed configuration) {
-		this.time = context.time;
-		this.log = context.log;
-		this.source = context.settings.instanceId() + "@" + context.time.epochMillis();
+	StoreRelay(String instanceId, TimeSource time, DecisionLog log, ConfigurationFeed configuration) {
+		this.time = time;
+		this.log = log;
+		this.source = instanceId + "@" + time.epochMillis();
 		this.configuration = configuration;
 	}
 
