Forget requests of the retry budget as time passes

Cause: requests were forgotten only when a repeat was asked for, so a service without failures kept a row for each request for ever. Found when reading the class beside its cousin in core. Test: remembersNoMoreThanAWindowHolds (200 s of 100 requests a second; without the change 20,000 rows).

--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/RetryBudget.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/RetryBudget.java
@@ -38,9 +38,18 @@
 	 * @param nowMillis time of its arrival
 	 */
 	public void requested(long nowMillis) {
+		forget(this.requests, nowMillis - this.windowMillis / 2);
 		this.requests.addLast(nowMillis);
 	}
 
+	/**
+	 * Returns the number of requests and repeats that are remembered.
+	 * @return the number, bounded by what comes in a window
+	 */
+	int remembered() {
+		return this.requests.size() + this.repeats.size();
+	}
+
 	/**
 	 * Takes a repeat from the budget if there is one left.
 	 * @param nowMillis time of the repeat
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/RetryBudgetTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/RetryBudgetTests.java
@@ -36,6 +36,15 @@
 		assertThat(budget.tryRepeat(WINDOW_MILLIS + 1, 1), is(true));
 	}
 
+	@Test
+	void remembersNoMoreThanAWindowHolds() {
+		RetryBudget budget = new RetryBudget(WINDOW_MILLIS, 0.2, 6);
+		for (long now = 0; now < 20 * WINDOW_MILLIS; now += 10) {
+			budget.requested(now);
+		}
+		assertThat((long) budget.remembered(), lessThanOrEqualTo(WINDOW_MILLIS / 10));
+	}
+
 	@Property(tries = 200, seed = "7")
 	void neverExceedsTheBoundInAnyWindow(@ForAll @IntRange(min = 1, max = 12) int extra,
 			@ForAll List<@IntRange(min = 0, max = 400) Integer> pauses) {
