Go on from the first copy, and ask for room as long as the source lives

Targets that refused are asked again every 100 ms. Test first: goOnElsewhereOnceThereIsRoomHoweverOftenItWasRefused (12 refusals) was red before.

Ruled out as cause of the longest pauses (6.3 s): they lie in the cut of a data centre, where nothing is copied.

Relays gather for 4 ms for each other relay, so that 26 of them send 250 messages a second at most.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOver.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOver.java
@@ -25,8 +25,6 @@
 
 	boolean copied;
 
-	int rounds;
-
 	long startedMillis;
 
 	/** Memory counted at the target for the generation. */
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CarryOverSystem.java
@@ -23,26 +23,21 @@
 	/** Pause before a generation that had not started is looked for again. */
 	private static final long NOT_STARTED_RETRY_MILLIS = 60;
 
-	/** Pause before targets are looked for again if there was none. */
-	private static final long NO_TARGET_RETRY_MILLIS = 50;
+	/**
+	 * Pause before targets that refused are asked again; the source lives for more than
+	 * ten of them.
+	 */
+	private static final long NO_TARGET_RETRY_MILLIS = 100;
 
 	/** Time in which the stopped source's stream ends, well above a round trip. */
 	private static final long SOURCE_END_MILLIS = 60;
 
-	private static final int MAXIMUM_ROUNDS = 8;
-
 	/**
 	 * Share of the longest pause that is on time which the last copy may take; the rest
 	 * is for the way to the target and its first event.
 	 */
 	private static final double LAST_COPY_SHARE_OF_GAP = 0.4;
 
-	/**
-	 * Time after the notice at which a copied generation goes on in any case, so that it
-	 * does within the shortest notice.
-	 */
-	private static final long SWITCH_AFTER_NOTICE_MILLIS = 1_100;
-
 	private final GatewayContext context;
 
 	private final CallFlow flow;
@@ -87,7 +82,7 @@
 
 	private void copy(Call call) {
 		CarryOver carry = call.carryOver;
-		if (call.finished || call.attempt != carry.source || carry.rounds >= MAXIMUM_ROUNDS) {
+		if (call.finished || call.attempt != carry.source) {
 			carry.stage = CarryOver.Stage.GIVEN_UP;
 			return;
 		}
@@ -100,7 +95,6 @@
 			this.context.time.after(NO_TARGET_RETRY_MILLIS, () -> copy(call));
 			return;
 		}
-		carry.rounds++;
 		carry.reserve(target.get(), call.promisedTokens);
 		carry.stage = CarryOver.Stage.COPYING;
 		move(call, false);
@@ -130,14 +124,13 @@
 				afterSourceEnds(call);
 			}
 			else if (call.attempt == carry.source) {
-				copyAgainOrGoOn(call, carry, this.context.time.nowMillis() - started);
+				copyLastOrGoOn(call, carry, this.context.time.nowMillis() - started);
 			}
 			return;
 		}
 		if (result instanceof MoveResult.Unknown && call.attempt == carry.source) {
 			// The engine has not started the request; there is nothing to copy yet.
 			carry.release();
-			carry.rounds--;
 			carry.stage = CarryOver.Stage.WAITING;
 			this.context.time.after(NOT_STARTED_RETRY_MILLIS, () -> copy(call));
 			return;
@@ -150,31 +143,20 @@
 	}
 
 	// Copies of other generations queue on the same link, so a short copy shows that the
-	// last one will be short as well. When the time is nearly up the target goes on from
-	// the copy it has and reads the few tokens made since.
-	private void copyAgainOrGoOn(Call call, CarryOver carry, long copyMillis) {
-		boolean shortEnough = copyMillis <= LAST_COPY_SHARE_OF_GAP * call.route.targetGapMillis();
-		if (shortEnough || call.route.targetGapMillis() == 0) {
+	// last one will be short as well. Where they queue the target goes on from the copy
+	// it
+	// has and reads the few tokens made since; another copy would wait behind the others.
+	private void copyLastOrGoOn(Call call, CarryOver carry, long copyMillis) {
+		long gapMillis = call.route.targetGapMillis();
+		if (gapMillis == 0 || copyMillis <= LAST_COPY_SHARE_OF_GAP * gapMillis) {
 			carry.stage = CarryOver.Stage.STOPPING;
 			move(call, true);
 		}
-		else if (noticeAge(carry) >= SWITCH_AFTER_NOTICE_MILLIS) {
-			switchOver(call, carry);
-		}
 		else {
-			this.context.time.after(SWITCH_AFTER_NOTICE_MILLIS - noticeAge(carry), () -> {
-				if (carry.stage == CarryOver.Stage.COPYING) {
-					switchOver(call, carry);
-				}
-			});
-			move(call, false);
+			switchOver(call, carry);
 		}
 	}
 
-	private long noticeAge(CarryOver carry) {
-		return this.context.time.nowMillis() - carry.startedMillis;
-	}
-
 	// Leaves the source without a last copy.
 	private void switchOver(Call call, CarryOver carry) {
 		if (call.finished || call.attempt != carry.source) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -25,9 +25,14 @@
 	/** Told at least so often, so that silence means that the peer is away. */
 	private static final long INTERVAL_MILLIS = 1_000;
 
-	/** Placements within this time are told together. */
+	/** Placements within this time are told together, at the least. */
 	private static final long GATHER_MILLIS = 20;
 
+	/**
+	 * Bounds what a relay sends to 250 messages a second, whatever the number of relays.
+	 */
+	private static final long GATHER_MILLIS_PER_RELAY = 4;
+
 	private static final long TIMEOUT_MILLIS = 500;
 
 	/** Many times a round trip between data centres; a placement waits no longer. */
@@ -65,10 +70,15 @@
 	void placed() {
 		if (!this.telling) {
 			this.telling = true;
-			this.context.time.after(GATHER_MILLIS, this::tell);
+			this.context.time.after(gatherMillis(), this::tell);
 		}
 	}
 
+	private long gatherMillis() {
+		return this.peers.relay() ? Math.max(GATHER_MILLIS, GATHER_MILLIS_PER_RELAY * this.peers.otherRelays().size())
+				: GATHER_MILLIS;
+	}
+
 	/**
 	 * Learns what others have placed, then decides. A relay is told of each placement and
 	 * decides at once.
