Fewer messages: gather changes, tell the load with the poll

Cause: with relays a leaf made some five calls a second, each on a connection of its own and each answered by a relay: a tell, a poll, and a watch for each change of a server, of which a dozen come within moments when servers leave.

Changes within 30 ms are told together by relays, and gathered before the next watch of the store. A poll through the relay carries the load placed and takes the place of the tell each second; it waits for the relay's next poll, so the pause after it is shorter by as much. Ruled out: a longer gathering, since a leaving server gives 1.5 s of notice.

KindWatchTests now also hold that nothing is asked before the gathering ends.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationFeed.java
@@ -26,6 +26,9 @@
 
 	private static final long RETRY_MILLIS = 300;
 
+	/** Between two polls when the first one waited for long. */
+	private static final long SHORTEST_PAUSE_MILLIS = 50;
+
 	/** Many times the store's usual answer of some milliseconds. */
 	private static final long SLOW_ANSWER_MILLIS = 100;
 
@@ -165,16 +168,23 @@
 			return;
 		}
 		this.polling = true;
+		long startedMillis = this.time.nowMillis();
 		read(this.polls, (taken) -> {
 			this.polling = false;
 			run(this.pollWaiters);
 			if (this.nextPoll != null) {
 				this.nextPoll.remove();
 			}
-			this.nextPoll = this.time.after(taken ? POLL_MILLIS : RETRY_MILLIS, this::poll);
+			this.nextPoll = this.time.after(taken ? pauseMillis(startedMillis) : RETRY_MILLIS, this::poll);
 		});
 	}
 
+	// A poll through another instance waits there for its next poll; together they take
+	// no longer than a poll of the store itself.
+	private long pauseMillis(long startedMillis) {
+		return Math.max(SHORTEST_PAUSE_MILLIS, POLL_MILLIS - (this.time.nowMillis() - startedMillis));
+	}
+
 	// Answers to what was asked before the clocks moved apart are dropped: the time they
 	// took is not known.
 	private void read(ObjectReader reader, Consumer<Boolean> done) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -119,13 +119,14 @@
 		this.decoder = decoder;
 		this.peers = new PeerTable(new Member(settings.instanceId(), settings.dataCentre(), settings.cores()),
 				settings.coldExtra());
+		this.servers = new ServerTable(this::serverLeaves);
+		this.peerExchange = new PeerExchange(this.context, this.peers, this.servers);
 		this.sharedStore = new SharedStore(this.store, new HttpRelayCalls(this.context.client, this.context.log),
-				this.context.time, this.context.log, this.peers);
+				this.context.time, this.context.log, this.peers, this.peerExchange::ownLoad);
 		this.configuration = new ConfigurationFeed(this.sharedStore::read, this.sharedStore::readDirectly, decoder,
 				this.context.time, this.context.log, settings.revocationMillis());
-		this.storeRelay = new StoreRelay(settings.instanceId(), this.context.time, this.context.log,
-				this.configuration);
-		this.servers = new ServerTable(this::serverLeaves);
+		this.storeRelay = new StoreRelay(settings.instanceId(), this.context.time, this.context.log, this.configuration,
+				this.peerExchange::take);
 		this.placer = new Placer(this.context, this.servers, this.peers, this.reach, PlacementCosts.leastLoaded());
 		this.endings = new CallEndings(this.context, this.configuration);
 		this.flow = new CallFlow(this.context, this.configuration, this.placer,
@@ -135,7 +136,6 @@
 		this.endings.onEnded(this.carryOvers::ended);
 		this.lifecycle = new Lifecycle(this.context.time, this.context.log, settings.shutdownGraceMillis(),
 				this.configuration, this.servers);
-		this.peerExchange = new PeerExchange(this.context, this.peers, this.servers);
 		this.directory = new InstanceDirectory(this.context, this.store, this.peers);
 		this.flow.loadExchange(this.peerExchange::refresh, this.peerExchange::placed);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/KindCopy.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/KindCopy.java
@@ -19,6 +19,11 @@
  */
 final class KindCopy {
 
+	/**
+	 * Changes within this time are told together; servers often leave several at once.
+	 */
+	private static final long GATHER_MILLIS = 30;
+
 	/** Changes kept; whoever missed more lists again. */
 	private static final int MAXIMUM_CHANGES = 512;
 
@@ -34,6 +39,8 @@
 
 	private boolean current;
 
+	private boolean waking;
+
 	KindCopy(TimeSource time) {
 		this.time = time;
 	}
@@ -88,7 +95,13 @@
 		if (this.changes.size() > MAXIMUM_CHANGES) {
 			this.changes.removeFirst();
 		}
-		wake((watcher) -> changesAfter(watcher.revision));
+		if (!this.waking) {
+			this.waking = true;
+			this.time.after(GATHER_MILLIS, () -> {
+				this.waking = false;
+				wake((watcher) -> changesAfter(watcher.revision));
+			});
+		}
 	}
 
 	private void lost() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/KindWatch.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/KindWatch.java
@@ -16,6 +16,9 @@
  */
 final class KindWatch {
 
+	/** Time in which changes are gathered before the next watch. */
+	private static final long GATHER_MILLIS = 30;
+
 	/** Pause after a failed call, long enough not to press a store that refuses. */
 	private static final long RETRY_MILLIS = 300;
 
@@ -92,7 +95,7 @@
 			if (result instanceof StoreResult.Changed changed) {
 				this.revision = Math.max(this.revision, changed.revision());
 				changed.changes().forEach(this.listener::changed);
-				watch();
+				watchAgain(changed);
 			}
 			else if (result instanceof StoreResult.HistoryGone) {
 				this.log.change("history of changes gone, listing again",
@@ -105,6 +108,16 @@
 		});
 	}
 
+	// Each watch is a call that the platform counts; changes often come several at once.
+	private void watchAgain(StoreResult.Changed last) {
+		if (last.changes().isEmpty()) {
+			watch();
+		}
+		else {
+			this.time.after(GATHER_MILLIS, this::watch);
+		}
+	}
+
 	private void failed(StoreResult result) {
 		if (this.failingSinceMillis < 0) {
 			this.failingSinceMillis = this.time.nowMillis();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerExchange.java
@@ -1,6 +1,5 @@
 package org.skylarkspring.gateway.internal;
 
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -129,7 +128,11 @@
 		}
 	}
 
-	private void take(PeerLoad load) {
+	/**
+	 * Takes what a peer has told.
+	 * @param load the message
+	 */
+	void take(PeerLoad load) {
 		long now = this.context.time.nowMillis();
 		load.draining().forEach(this.servers::noticedLeaving);
 		boolean changed = this.peers.told(load, now);
@@ -141,14 +144,11 @@
 
 	private String answerTo(String instanceId) {
 		Stream<PeerLoad.ServerLoad> others = this.peers.loadsBut(instanceId, this.context.time.nowMillis());
-		return message(true, Stream.concat(ownLoads(), others));
+		return this.gson.toJson(message(true, Stream.concat(ownLoads(), others)));
 	}
 
 	private void tell() {
 		this.telling = false;
-		if (this.nextTelling != null) {
-			this.nextTelling.remove();
-		}
 		if (this.peers.relay()) {
 			tellRelays();
 		}
@@ -156,9 +156,25 @@
 			tellOwnRelay(() -> {
 			});
 		}
+		tellAgainLater();
+	}
+
+	private void tellAgainLater() {
+		if (this.nextTelling != null) {
+			this.nextTelling.remove();
+		}
 		this.nextTelling = this.context.time.after(INTERVAL_MILLIS, this::tell);
 	}
 
+	/**
+	 * Returns what this instance has placed, to be told with another message.
+	 * @return the message
+	 */
+	PeerLoad ownLoad() {
+		tellAgainLater();
+		return message(false, ownLoads());
+	}
+
 	private void tellRelays() {
 		Stream<PeerLoad.ServerLoad> passedOn = this.peers.loadsToPassOn(this.context.time.nowMillis());
 		TextRequest request = request(message(true, Stream.concat(ownLoads(), passedOn)));
@@ -203,13 +219,12 @@
 					entry.unreadTokens));
 	}
 
-	private String message(boolean relay, Stream<PeerLoad.ServerLoad> loads) {
-		List<PeerLoad.ServerLoad> sums = PeerTable.sum(loads);
-		return this.gson.toJson(new PeerLoad(this.context.settings.instanceId(), relay, sums, this.servers.draining()));
+	private PeerLoad message(boolean relay, Stream<PeerLoad.ServerLoad> loads) {
+		return new PeerLoad(this.context.settings.instanceId(), relay, PeerTable.sum(loads), this.servers.draining());
 	}
 
-	private static TextRequest request(String text) {
-		return new TextRequest(Methods.POST, PATH, Optional.of(text));
+	private TextRequest request(PeerLoad message) {
+		return new TextRequest(Methods.POST, PATH, Optional.of(this.gson.toJson(message)));
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedCall.java
@@ -1,5 +1,7 @@
 package org.skylarkspring.gateway.internal;
 
+import java.util.List;
+
 import org.skylarkspring.gateway.model.ObjectKind;
 
 /**
@@ -10,11 +12,14 @@
  * @param source life of the relay whose revisions are meant, empty for none
  * @param revision revision after which changes count
  * @param waitMillis longest time to wait for one
+ * @param told what the asking instance has placed, empty unless the configuration is
+ * asked for
  */
-record RelayedCall(Verb verb, ObjectKind kind, String source, long revision, long waitMillis) {
+record RelayedCall(Verb verb, ObjectKind kind, String source, long revision, long waitMillis, List<PeerLoad> told) {
 
 	boolean complete() {
-		return this.verb != null && this.kind != null && this.source != null;
+		return this.verb != null && this.kind != null && this.source != null && this.told != null
+				&& this.told.stream().allMatch(PeerLoad::complete);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/SharedStore.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/SharedStore.java
@@ -1,9 +1,11 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.StoreResult;
@@ -35,6 +37,9 @@
 
 	private final PeerTable peers;
 
+	/** Told with each reading of the configuration, which keeps the relay up to date. */
+	private final Supplier<PeerLoad> ownLoad;
+
 	/** Where the last list of each kind came from; absent for the store itself. */
 	private final Map<ObjectKind, Source> sources = new EnumMap<>(ObjectKind.class);
 
@@ -42,12 +47,14 @@
 
 	private long configurationRevision = -1;
 
-	SharedStore(ObjectStore direct, RelayCalls calls, TimeSource time, DecisionLog log, PeerTable peers) {
+	SharedStore(ObjectStore direct, RelayCalls calls, TimeSource time, DecisionLog log, PeerTable peers,
+			Supplier<PeerLoad> ownLoad) {
 		this.direct = direct;
 		this.calls = calls;
 		this.time = time;
 		this.log = log;
 		this.peers = peers;
+		this.ownLoad = ownLoad;
 	}
 
 	@Override
@@ -57,7 +64,8 @@
 			readDirectly(kind, name, result);
 			return;
 		}
-		RelayedCall call = new RelayedCall(RelayedCall.Verb.READ, kind, "", this.configurationRevision, 0);
+		RelayedCall call = new RelayedCall(RelayedCall.Verb.READ, kind, "", this.configurationRevision, 0,
+				List.of(this.ownLoad.get()));
 		this.calls.ask(relay.get().address, call, MAXIMUM_READ_MILLIS + TIMEOUT_MILLIS, (answer) -> {
 			Optional<RelayedAnswer> usable = answer.filter((found) -> found.outcome() == RelayedAnswer.Outcome.LISTED)
 				.filter((found) -> found.ageMillis() <= MAXIMUM_AGE_MILLIS);
@@ -100,7 +108,7 @@
 			this.direct.list(kind, after, result);
 			return;
 		}
-		RelayedCall call = new RelayedCall(RelayedCall.Verb.LIST, kind, "", 0, 0);
+		RelayedCall call = new RelayedCall(RelayedCall.Verb.LIST, kind, "", 0, 0, List.of());
 		this.calls.ask(relay.get().address, call, TIMEOUT_MILLIS, (answer) -> {
 			if (answer.filter((found) -> found.outcome() == RelayedAnswer.Outcome.LISTED).isPresent()) {
 				this.sources.put(kind, new Source(relay.get(), answer.get().source()));
@@ -127,7 +135,8 @@
 			return;
 		}
 		this.watching.put(kind, result);
-		RelayedCall call = new RelayedCall(RelayedCall.Verb.WATCH, kind, source.get().life(), revision, waitMillis);
+		RelayedCall call = new RelayedCall(RelayedCall.Verb.WATCH, kind, source.get().life(), revision, waitMillis,
+				List.of());
 		this.calls.ask(relay.get().address, call, waitMillis + TIMEOUT_MILLIS, (answer) -> {
 			if (this.watching.remove(kind, result)) {
 				result.accept(watched(relay.get(), kind, answer));
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelay.java
@@ -41,11 +41,15 @@
 
 	private final ConfigurationFeed configuration;
 
-	StoreRelay(String instanceId, TimeSource time, DecisionLog log, ConfigurationFeed configuration) {
+	private final Consumer<PeerLoad> onTold;
+
+	StoreRelay(String instanceId, TimeSource time, DecisionLog log, ConfigurationFeed configuration,
+			Consumer<PeerLoad> onTold) {
 		this.time = time;
 		this.log = log;
 		this.source = instanceId + "@" + time.epochMillis();
 		this.configuration = configuration;
+		this.onTold = onTold;
 	}
 
 	/**
@@ -92,6 +96,7 @@
 	 */
 	void answer(RelayedCall call, Consumer<RelayedAnswer> receiver) {
 		long received = this.time.nowMillis();
+		call.told().forEach(this.onTold);
 		Consumer<StoreResult> result = (outcome) -> receiver.accept(encode(outcome, this.time.nowMillis() - received));
 		switch (call.verb()) {
 			case READ -> readConfiguration(call, result);
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/KindWatchTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/KindWatchTests.java
@@ -14,6 +14,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -75,6 +76,8 @@
 			KindWatchTests.this.store.answer(page(10, false, "a"));
 			KindWatchTests.this.store.answer(new StoreResult.Changed(List.of(new ObjectChange(object("a"), true)), 15));
 			assertThat(KindWatchTests.this.heard, contains("list a", "removed a"));
+			assertThat(KindWatchTests.this.store.pending, empty());
+			KindWatchTests.this.time.pass(30);
 			assertThat(KindWatchTests.this.store.only().argument(), is("15"));
 		}
 
