Let late news of an earlier run not take a server out

Cause: peers tell which servers drain by name alone. A peer that has not yet heard that a server started again under its name marked the new run as leaving, and nothing changed that until its next listing. News now name the run: id and start. Test: ServerTableTests.ofAnEarlierRunDoesNotCount.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/LeaveProbe.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/LeaveProbe.java
@@ -48,7 +48,7 @@
 			if (this.context.servers.reportsLeaving(result)) {
 				this.context.log.change("server says that it leaves", Map.of("server", entry.listing.id(),
 						"configuration-age-millis", this.configuration.ageMillis()));
-				this.servers.noticedLeaving(entry.listing.id());
+				this.servers.noticedLeaving(entry.listing.run());
 			}
 		});
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoad.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.skylarkspring.gateway.model.ServerRun;
+
 /**
  * What an instance tells another one of the requests placed.
  *
@@ -11,7 +13,7 @@
  * @param loads load placed on each server
  * @param draining servers listed as about to leave
  */
-record PeerLoad(String instanceId, boolean relay, List<ServerLoad> loads, List<String> draining) {
+record PeerLoad(String instanceId, boolean relay, List<ServerLoad> loads, List<ServerRun> draining) {
 
 	boolean complete() {
 		return this.instanceId != null && this.loads != null && this.draining != null;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.model.ServerListing;
+import org.skylarkspring.gateway.model.ServerRun;
 
 /**
  * Table of the backend servers, kept up to date from the platform's list.
@@ -96,11 +97,14 @@
 	}
 
 	/**
-	 * Takes the news that a server leaves from elsewhere than the list.
-	 * @param serverId name of the server
+	 * Takes the news that a server leaves from elsewhere than the list. News of an
+	 * earlier run that come late don't count.
+	 * @param run the run that ends
 	 */
-	void noticedLeaving(String serverId) {
-		find(serverId).filter((entry) -> !entry.leaving).ifPresent((entry) -> {
+	void noticedLeaving(ServerRun run) {
+		Optional<ServerEntry> stays = find(run.serverId()).filter((entry) -> !entry.leaving)
+			.filter((entry) -> entry.listing.run().equals(run));
+		stays.ifPresent((entry) -> {
 			entry.leaving = true;
 			this.onLeaving.accept(entry);
 		});
@@ -108,13 +112,13 @@
 
 	/**
 	 * Returns the servers that are listed as draining.
-	 * @return their names
+	 * @return their runs
 	 */
-	List<String> draining() {
+	List<ServerRun> draining() {
 		return this.entries.values()
 			.stream()
 			.filter((entry) -> entry.listing.draining() && !entry.removed)
-			.map((entry) -> entry.listing.id())
+			.map((entry) -> entry.listing.run())
 			.toList();
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/ServerListing.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/ServerListing.java
@@ -15,6 +15,14 @@
 public record ServerListing(String id, String service, String address, String dataCentre, int slots, boolean draining,
 		long coldRemainingMillis, long startedAtEpochMillis) {
 
+	/**
+	 * Returns the run of the server that is listed.
+	 * @return the run
+	 */
+	public ServerRun run() {
+		return new ServerRun(this.id, this.startedAtEpochMillis);
+	}
+
 	/**
 	 * Returns whether another listing is of the same run of the same server.
 	 * @param other the other listing
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerTableTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerTableTests.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.skylarkspring.gateway.model.ServerListing;
+import org.skylarkspring.gateway.model.ServerRun;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -58,19 +59,27 @@
 		@Test
 		void countsUntilTheListSaysOtherwise() {
 			ServerTableTests.this.table.replaceAll(List.of(listing("s1", false, 1)), false, 0);
-			ServerTableTests.this.table.noticedLeaving("s1");
-			ServerTableTests.this.table.noticedLeaving("s1");
+			ServerTableTests.this.table.noticedLeaving(new ServerRun("s1", 1));
+			ServerTableTests.this.table.noticedLeaving(new ServerRun("s1", 1));
 			assertThat(ServerTableTests.this.leaving, contains("s1"));
 			assertThat(usable("s1"), is(false));
 			ServerTableTests.this.table.put(listing("s1", false, 1), 10);
 			assertThat(usable("s1"), is(true));
 		}
 
+		@Test
+		void ofAnEarlierRunDoesNotCount() {
+			ServerTableTests.this.table.put(listing("s1", true, 1), 0);
+			ServerTableTests.this.table.put(listing("s1", false, 2), 10);
+			ServerTableTests.this.table.noticedLeaving(new ServerRun("s1", 1));
+			assertThat(usable("s1"), is(true));
+		}
+
 		@Test
 		void isPassedOnOnlyFromTheList() {
 			ServerTableTests.this.table.replaceAll(List.of(listing("s1", false, 1), listing("s2", true, 1)), false, 0);
-			ServerTableTests.this.table.noticedLeaving("s1");
-			assertThat(ServerTableTests.this.table.draining(), contains("s2"));
+			ServerTableTests.this.table.noticedLeaving(new ServerRun("s1", 1));
+			assertThat(ServerTableTests.this.table.draining(), contains(new ServerRun("s2", 1)));
 		}
 
 	}
