Break a stream off when its continuation fails

Any answer that is not a stream now counts as a broken attempt once the caller has part of a stream. Test first: breakOffVisiblyWhenTheirContinuationFails was red.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -140,6 +140,10 @@
 			return;
 		}
 		this.streaming = status == OK && this.call.route.kind().streamed();
+		if (this.call.committed() && !this.streaming) {
+			// The caller has part of a stream; nothing else can complete it.
+			give(() -> this.flow.broke(this, CallOutcome.UNKNOWN, "status " + status + " within a stream"));
+		}
 	}
 
 	private void give(Runnable outcome) {
