--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/SharedStore.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/SharedStore.java
@@ -21,7 +21,7 @@
 	/** Beyond the time that a call may wait at the relay. */
 	private static final long TIMEOUT_MILLIS = 400;
 
-	/** Half of the time in which a version must be in force, twice that of a poll. */
+	/** A read waits at the relay for its next poll, a second or little more. */
 	private static final long MAXIMUM_READ_MILLIS = 1_300;
 
 	/** Age above which the relay itself has lost touch. */
