--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -1,24 +1,17 @@
 package org.skylarkspring.gateway.http;
 
 import java.io.IOException;
-import java.net.URI;
 import java.nio.ByteBuffer;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
-import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -34,17 +27,18 @@
 	/** Failure reason: the connection was not established within the connect timeout. */
 	public static final String CONNECT_TIMEOUT_REASON = "connection not established within the connect timeout";
 
-	private static final OptionMap CONNECTION_OPTIONS = OptionMap.builder()
-		.set(UndertowOptions.ENABLE_HTTP2, false)
-		.set(Options.TCP_NODELAY, true)
-		.getMap();
-
-	private final XnioIoThread ioThread;
+	/**
+	 * Number of body bytes read before other connections get their turn, so that a server
+	 * that sends at full speed does not delay them.
+	 */
+	private static final int READ_BATCH_BYTES = 64 * 1024;
 
-	private final ByteBufferPool bufferPool;
+	private final HttpConnector connector;
 
 	private final Listener listener;
 
+	private final ResponseHeadLimit headLimit = new ResponseHeadLimit();
+
 	private ClientConnection connection;
 
 	private StreamSourceChannel responseChannel;
@@ -57,13 +51,11 @@
 
 	/**
 	 * Creates a call, to be started by {@link #start}.
-	 * @param ioThread thread that owns the call
-	 * @param bufferPool pool of I/O buffers
+	 * @param connector opens the connection on the thread that owns the call
 	 * @param listener receives the response
 	 */
-	public HttpClientCall(XnioIoThread ioThread, ByteBufferPool bufferPool, Listener listener) {
-		this.ioThread = ioThread;
-		this.bufferPool = bufferPool;
+	public HttpClientCall(HttpConnector connector, Listener listener) {
+		this.connector = connector;
 		this.listener = listener;
 	}
 
@@ -75,11 +67,10 @@
 	 * @param connectTimeoutMillis connect timeout in milliseconds
 	 */
 	public void start(String address, ClientRequest request, byte[] body, long connectTimeoutMillis) {
-		this.connectTimer = this.ioThread.executeAfter(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
-				connectTimeoutMillis, TimeUnit.MILLISECONDS);
-		UndertowClient.getInstance()
-			.connect(callback((connected) -> sendRequest(connected, request, body), this::closeLateConnection),
-					URI.create("http://" + address), this.ioThread, this.bufferPool, CONNECTION_OPTIONS);
+		this.connectTimer = this.connector.schedule(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
+				connectTimeoutMillis);
+		this.connector.connect(address, this.headLimit,
+				callback((connected) -> sendRequest(connected, request, body), this::closeLateConnection));
 	}
 
 	/** Cancels the call and closes its connection. The listener is not called again. */
@@ -160,6 +151,7 @@
 	}
 
 	private void onResponse(ClientExchange exchange) {
+		this.headLimit.markHeadComplete();
 		ClientResponse response = exchange.getResponse();
 		this.responseChannel = exchange.getResponseChannel();
 		this.responseChannel.getReadSetter().set((ChannelListener<StreamSourceChannel>) this::readBody);
@@ -173,9 +165,14 @@
 		if (this.closed) {
 			return;
 		}
-		try (PooledByteBuffer pooled = this.bufferPool.allocate()) {
+		try (PooledByteBuffer pooled = this.connector.allocateBuffer()) {
 			ByteBuffer buffer = pooled.getBuffer();
+			int batchBytes = 0;
 			while (!this.closed) {
+				if (batchBytes >= READ_BATCH_BYTES) {
+					source.resumeReads();
+					return;
+				}
 				buffer.clear();
 				int count = source.read(buffer);
 				if (count == 0) {
@@ -188,6 +185,7 @@
 					return;
 				}
 				buffer.flip();
+				batchBytes += count;
 				if (!this.listener.onData(buffer)) {
 					source.suspendReads();
 					return;
@@ -203,8 +201,16 @@
 		if (!this.closed) {
 			close();
 			this.listener.onFailure(this.requestSent ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT,
-					(failure.getMessage() != null) ? failure.getMessage() : failure.getClass().getSimpleName());
+					describe(failure));
+		}
+	}
+
+	// The HTTP client replaces the exception of a failed read by one of its own.
+	private String describe(IOException failure) {
+		if (this.headLimit.isExceeded()) {
+			return this.headLimit.reason();
 		}
+		return (failure.getMessage() != null) ? failure.getMessage() : failure.getClass().getSimpleName();
 	}
 
 	private void close() {
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
@@ -0,0 +1,63 @@
+package org.skylarkspring.gateway.http;
+
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.UndertowOptions;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioIoThread;
+
+/**
+ * Opens client connections on one I/O thread. <pre class="code">
+ * HttpConnector connector = new HttpConnector(ioThread, bufferPool);
+ * HttpTextClient client = new HttpTextClient(connector);
+ * </pre>
+ */
+public final class HttpConnector {
+
+	private static final OptionMap CONNECTION_OPTIONS = OptionMap.builder()
+		.set(UndertowOptions.ENABLE_HTTP2, false)
+		.set(Options.TCP_NODELAY, true)
+		.getMap();
+
+	private final XnioIoThread ioThread;
+
+	private final HeadLimitingConnector headLimitingConnector;
+
+	private final ByteBufferPool bufferPool;
+
+	/**
+	 * Creates a connector.
+	 * @param ioThread thread that owns the connections
+	 * @param bufferPool pool of I/O buffers
+	 */
+	public HttpConnector(XnioIoThread ioThread, ByteBufferPool bufferPool) {
+		this.ioThread = ioThread;
+		this.headLimitingConnector = new HeadLimitingConnector(ioThread);
+		this.bufferPool = bufferPool;
+	}
+
+	void connect(String address, ResponseHeadLimit headLimit, ClientCallback<ClientConnection> callback) {
+		OptionMap options = OptionMap.builder()
+			.addAll(CONNECTION_OPTIONS)
+			.set(HeadLimitingConnector.RESPONSE_HEAD_LIMIT, headLimit)
+			.getMap();
+		UndertowClient.getInstance()
+			.connect(callback, URI.create("http://" + address), this.headLimitingConnector, this.bufferPool, options);
+	}
+
+	XnioIoThread.Key schedule(Runnable task, long delayMillis) {
+		return this.ioThread.executeAfter(task, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	PooledByteBuffer allocateBuffer() {
+		return this.bufferPool.allocate();
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpTextClient.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpTextClient.java
@@ -3,12 +3,10 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.Headers;
 import org.xnio.XnioIoThread;
 
@@ -19,21 +17,14 @@
  */
 public final class HttpTextClient {
 
-	/** Data that would make the body larger than this is discarded. */
-	private static final int MAXIMUM_RESPONSE_BYTES = 4 * 1024 * 1024;
-
-	private final XnioIoThread ioThread;
-
-	private final ByteBufferPool bufferPool;
+	private final HttpConnector connector;
 
 	/**
 	 * Creates a client.
-	 * @param ioThread thread that owns the client
-	 * @param bufferPool pool of I/O buffers
+	 * @param connector opens connections on the thread that owns the client
 	 */
-	public HttpTextClient(XnioIoThread ioThread, ByteBufferPool bufferPool) {
-		this.ioThread = ioThread;
-		this.bufferPool = bufferPool;
+	public HttpTextClient(HttpConnector connector) {
+		this.connector = connector;
 	}
 
 	/**
@@ -46,13 +37,11 @@
 	 */
 	public void sendAsync(String address, HttpTextRequest request, long timeoutMillis,
 			Consumer<HttpTextResult> result) {
-		ResponseCollector collector = new ResponseCollector(result);
-		HttpClientCall call = new HttpClientCall(this.ioThread, this.bufferPool, collector);
-		collector.timeoutTimer = this.ioThread.executeAfter(() -> {
-			call.cancel();
-			collector.complete(new HttpTextResult.Failed(DeliveryStatus.UNKNOWN,
-					"no complete response within " + timeoutMillis + " ms"));
-		}, timeoutMillis, TimeUnit.MILLISECONDS);
+		ResponseCollector collector = new ResponseCollector(request.maximumResponseBytes(), result);
+		HttpClientCall call = new HttpClientCall(this.connector, collector);
+		collector.call = call;
+		collector.timeoutTimer = this.connector.schedule(
+				() -> collector.cancelAndFail("no complete response within " + timeoutMillis + " ms"), timeoutMillis);
 		byte[] body = request.body().orElse("").getBytes(StandardCharsets.UTF_8);
 		ClientRequest head = new ClientRequest().setMethod(request.method()).setPath(request.path());
 		head.getRequestHeaders().put(Headers.HOST, address);
@@ -68,17 +57,22 @@
 	 */
 	private static final class ResponseCollector implements HttpClientCall.Listener {
 
+		private final int maximumBytes;
+
 		private final Consumer<HttpTextResult> callback;
 
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+		private HttpClientCall call;
+
 		private XnioIoThread.Key timeoutTimer;
 
 		private int status;
 
 		private boolean completed;
 
-		private ResponseCollector(Consumer<HttpTextResult> callback) {
+		private ResponseCollector(int maximumBytes, Consumer<HttpTextResult> callback) {
+			this.maximumBytes = maximumBytes;
 			this.callback = callback;
 		}
 
@@ -89,11 +83,13 @@
 
 		@Override
 		public boolean onData(ByteBuffer data) {
+			if (this.body.size() + data.remaining() > this.maximumBytes) {
+				cancelAndFail("response exceeds the maximum of " + this.maximumBytes + " bytes");
+				return false;
+			}
 			byte[] chunk = new byte[data.remaining()];
 			data.get(chunk);
-			if (this.body.size() + chunk.length <= MAXIMUM_RESPONSE_BYTES) {
-				this.body.writeBytes(chunk);
-			}
+			this.body.writeBytes(chunk);
 			return true;
 		}
 
@@ -107,6 +103,11 @@
 			complete(new HttpTextResult.Failed(outcome, reason));
 		}
 
+		private void cancelAndFail(String reason) {
+			this.call.cancel();
+			complete(new HttpTextResult.Failed(DeliveryStatus.UNKNOWN, reason));
+		}
+
 		private void complete(HttpTextResult result) {
 			if (!this.completed) {
 				this.completed = true;
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseHeadLimit.java
@@ -0,0 +1,46 @@
+package org.skylarkspring.gateway.http;
+
+import java.io.IOException;
+
+/**
+ * Limit of the bytes that a client connection reads before the head of the response is
+ * complete. Interim responses count as part of the head.
+ */
+final class ResponseHeadLimit {
+
+	/** Maximum size of a response head, many times that of a usual one. */
+	static final int MAXIMUM_HEAD_BYTES = 32 * 1024;
+
+	private int receivedBytes;
+
+	private boolean headComplete;
+
+	/** Records that the head is complete, so that further bytes are not limited. */
+	void markHeadComplete() {
+		this.headComplete = true;
+	}
+
+	/**
+	 * Counts bytes that were read from the connection.
+	 * @param bytes number of bytes
+	 * @throws IOException if the head exceeds the maximum size
+	 */
+	void countReceived(int bytes) throws IOException {
+		if (this.headComplete) {
+			return;
+		}
+		this.receivedBytes += bytes;
+		if (isExceeded()) {
+			throw new IOException(reason());
+		}
+	}
+
+	boolean isExceeded() {
+		return !this.headComplete && this.receivedBytes > MAXIMUM_HEAD_BYTES;
+	}
+
+	String reason() {
+		return "response head exceeds the maximum of " + MAXIMUM_HEAD_BYTES + " bytes";
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -54,6 +54,12 @@
 
 	ServerAttempt attempt;
 
+	/**
+	 * Attempt that is about to continue the generation on another server while
+	 * {@link #attempt} still runs, {@code null} for none.
+	 */
+	ServerAttempt successor;
+
 	GenerationMigration migration;
 
 	/** Number of attempts in which a server may have executed the request. */
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -22,6 +22,12 @@
 	 */
 	private static final long RETRY_AFTER_MILLIS = 300;
 
+	/**
+	 * Maximum total size of request bodies in memory, a quarter of the smallest heap in
+	 * use.
+	 */
+	private static final long MAXIMUM_BUFFERED_BODY_BYTES = 24L * 1024 * 1024;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -37,7 +43,7 @@
 	private Consumer<ActiveRequest> endListener = (request) -> {
 	};
 
-	private long bufferedBodyBytes;
+	private final BufferedBytes bodyMemory = new BufferedBytes(MAXIMUM_BUFFERED_BODY_BYTES);
 
 	ActiveRequestRegistry(GatewayContext context, ConfigurationPoller configuration) {
 		this.context = context;
@@ -52,13 +58,17 @@
 		return this.requests;
 	}
 
-	long bufferedBodyBytes() {
-		return this.bufferedBodyBytes;
+	/**
+	 * Returns the memory of the request bodies. The body of a registered request is
+	 * released when the request ends.
+	 * @return the memory
+	 */
+	BufferedBytes bodyMemory() {
+		return this.bodyMemory;
 	}
 
 	void register(ActiveRequest request) {
 		this.requests.add(request);
-		this.bufferedBodyBytes += request.body.length;
 		this.context.metrics.setActiveRequests(this.requests.size());
 	}
 
@@ -137,17 +147,25 @@
 	void finish(ActiveRequest request, String outcome) {
 		request.finished = true;
 		this.requests.remove(request);
-		this.bufferedBodyBytes -= request.body.length;
+		this.bodyMemory.release(request.body.length);
 		this.context.metrics.setActiveRequests(this.requests.size());
 		this.context.metrics.recordOutcome(request.route.name(), outcome);
 		request.deadlineTimer.cancel();
 		request.disconnectDetector.stop();
-		if (request.attempt != null) {
-			ServerAttempt attempt = request.attempt;
+		cancelAttempt(request.successor);
+		cancelAttempt(request.attempt);
+		this.endListener.accept(request);
+	}
+
+	/**
+	 * Cancels an attempt and detaches it.
+	 * @param attempt the attempt, {@code null} to do nothing
+	 */
+	void cancelAttempt(ServerAttempt attempt) {
+		if (attempt != null) {
 			attempt.cancel();
 			detachAttempt(attempt);
 		}
-		this.endListener.accept(request);
 	}
 
 	/**
@@ -159,10 +177,14 @@
 		if (attempt.server.attempts.remove(attempt)) {
 			attempt.server.reservedTokens -= attempt.activeRequest.reservedTokens;
 			attempt.markPrefillComplete();
+			attempt.releaseBackupReservation();
 		}
 		if (attempt.activeRequest.attempt == attempt) {
 			attempt.activeRequest.attempt = null;
 		}
+		if (attempt.activeRequest.successor == attempt) {
+			attempt.activeRequest.successor = null;
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerTimeoutSystem.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerTimeoutSystem.java
@@ -85,7 +85,7 @@
 			// The new timeout applies to connections that are accepted from now on.
 			this.listener.setServerOptions(OptionMap.builder()
 				.addAll(LISTENER_OPTIONS)
-				.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, Math.toIntExact(this.headTimeoutMillis))
+				.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) Math.min(Integer.MAX_VALUE, this.headTimeoutMillis))
 				.getMap());
 		}
 		int closed = this.connections.closeIdleConnections(nowMillis, limits.idleTimeoutMillis());
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationPoller.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationPoller.java
@@ -29,6 +29,12 @@
 	/** Minimum delay after a poll that took longer than the poll interval. */
 	private static final long MINIMUM_POLL_DELAY_MILLIS = 50;
 
+	/**
+	 * Less than the time within which a new version must be in force, by the time that a
+	 * request may be under way.
+	 */
+	private static final long RECENT_MILLIS = 1_500;
+
 	/** Many times the store's usual response time of a few milliseconds. */
 	private static final long SLOW_RESPONSE_THRESHOLD_MILLIS = 100;
 
@@ -114,6 +120,16 @@
 		return this.confirmed && ageMillis() < this.maximumAgeMillis;
 	}
 
+	/**
+	 * Returns whether a version that is not in the routing table yet need not be in force
+	 * yet, so that a request may be denied without asking the store.
+	 * @return whether the store has confirmed the configuration recently
+	 */
+	boolean isRecent() {
+		detectSuspension();
+		return this.confirmed && ageMillis() <= RECENT_MILLIS;
+	}
+
 	long ageMillis() {
 		return this.confirmed ? this.scheduler.nowMillis() - this.lastConfirmedMillis : -1;
 	}
@@ -137,6 +153,10 @@
 	 */
 	void runAfterStoreCheck(Runnable task) {
 		this.afterCheckTasks.add(task);
+		startCheckIfIdle();
+	}
+
+	private void startCheckIfIdle() {
 		if (!this.checkInProgress) {
 			this.checkInProgress = true;
 			readConfiguration(this.directReader, (result) -> {
@@ -163,6 +183,9 @@
 			this.pollInProgress = false;
 			this.checkInProgress = false;
 			pollIfIdle();
+			if (!this.afterCheckTasks.isEmpty()) {
+				startCheckIfIdle();
+			}
 		}
 	}
 
@@ -244,8 +267,13 @@
 		}
 	}
 
+	private boolean isLatest(StoredObject object) {
+		return this.latestObject != null && this.latestObject.revision() == object.revision();
+	}
+
 	private boolean applyConfiguration(StoredObject object, long confirmedAtMillis) {
-		Optional<RoutingTable> decoded = this.decoder.decodeRoutingTable(object);
+		Optional<RoutingTable> decoded = isLatest(object) ? Optional.of(this.routingTable)
+				: this.decoder.decodeRoutingTable(object);
 		if (decoded.isEmpty()) {
 			return false;
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
@@ -4,6 +4,7 @@
 import org.xnio.XnioIoThread;
 
 import org.skylarkspring.gateway.GatewaySettings;
+import org.skylarkspring.gateway.http.HttpConnector;
 import org.skylarkspring.gateway.http.HttpTextClient;
 import org.skylarkspring.gateway.port.CallerProtocol;
 import org.skylarkspring.gateway.port.ServerProtocol;
@@ -23,6 +24,8 @@
 
 	final ServerProtocol serverProtocol;
 
+	final HttpConnector connector;
+
 	final HttpTextClient client;
 
 	final Scheduler scheduler;
@@ -38,7 +41,8 @@
 		this.buffers = buffers;
 		this.callerProtocol = callerProtocol;
 		this.serverProtocol = serverProtocol;
-		this.client = new HttpTextClient(ioThread, buffers);
+		this.connector = new HttpConnector(ioThread, buffers);
+		this.client = new HttpTextClient(this.connector);
 		this.scheduler = new IoThreadScheduler(ioThread);
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -204,16 +204,21 @@
 	}
 
 	private void startBackgroundTasks() {
-		this.configuration.start();
-		startWatch(ObjectKind.SERVERS, SERVER_WATCH_TIMEOUT_MILLIS, new ServerListener());
-		startWatch(ObjectKind.EVACUATIONS, EVACUATION_WATCH_TIMEOUT_MILLIS, new EvacuationListener());
 		startWatch(ObjectKind.INSTANCES, INSTANCE_WATCH_TIMEOUT_MILLIS, this.instanceRegistry);
+		this.instanceRegistry.runAfterFirstList(this::startReading);
 		this.instanceRegistry.register();
 		this.peerLoadSynchronizer.start();
 		new ServerDrainProbe(this.context, this.configuration, this.servers).start();
 		tick();
 	}
 
+	// Started when the relays are known, so that the store is read through them.
+	private void startReading() {
+		this.configuration.start();
+		startWatch(ObjectKind.SERVERS, SERVER_WATCH_TIMEOUT_MILLIS, new ServerListener());
+		startWatch(ObjectKind.EVACUATIONS, EVACUATION_WATCH_TIMEOUT_MILLIS, new EvacuationListener());
+	}
+
 	private void startWatch(ObjectKind kind, long watchTimeoutMillis, ObjectInformer.Listener listener) {
 		WatchCache cache = this.storeRelay.cacheFor(kind);
 		new ObjectInformer(this.relayedStore, this.context.scheduler, this.context.log, kind, watchTimeoutMillis,
@@ -222,6 +227,7 @@
 	}
 
 	private void tick() {
+		this.context.scheduler.schedule(TICK_INTERVAL_MILLIS, this::tick);
 		long now = this.context.scheduler.nowMillis();
 		this.servers.evictExpiredEntries(now);
 		this.peers.applyLoadsTo(this.servers, now);
@@ -229,7 +235,6 @@
 		this.callerTimeouts.tick(now);
 		this.context.metrics.recordState(this.servers.all().stream().filter(ServerEntry::acceptsRequests).count(),
 				this.configuration.ageMillis());
-		this.context.scheduler.schedule(TICK_INTERVAL_MILLIS, this::tick);
 	}
 
 	private void onServerTerminating(ServerEntry entry) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigration.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigration.java
@@ -1,11 +1,8 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.Set;
 
-import org.skylarkspring.gateway.model.GenerationResumePoint;
-
 /**
  * State of the migration of a generation from a terminating server to another one.
  */
@@ -13,19 +10,19 @@
 
 	final Set<String> rejectedTargetIds = new HashSet<>();
 
-	ServerAttempt source;
+	final ServerAttempt source;
+
+	final long startedMillis;
 
 	ServerEntry target;
 
+	/** Identifier of the last completed copy, {@code null} for none. */
 	String copyHandle;
 
 	Stage stage = Stage.WAITING;
 
-	boolean sourceEnded;
-
-	boolean hasCopy;
-
-	long startedMillis;
+	/** Number of targets that failed to continue the generation. */
+	int failedResumes;
 
 	/** KV cache memory reserved on the target for the generation. */
 	private long reservedTokens;
@@ -41,6 +38,7 @@
 	 * @param tokens amount of KV cache memory to reserve, in tokens
 	 */
 	void reserveTokens(ServerEntry entry, long tokens) {
+		releaseReservation();
 		this.target = entry;
 		this.reservedTokens = tokens;
 		entry.reservedTokens += tokens;
@@ -54,9 +52,8 @@
 		}
 	}
 
-	Optional<GenerationResumePoint> resumePoint(Optional<String> lastEventId) {
-		return Optional.ofNullable(this.copyHandle)
-			.map((handle) -> new GenerationResumePoint(this.source.server.registration.address(), handle, lastEventId));
+	boolean isInProgress() {
+		return this.stage == Stage.WAITING || this.stage == Stage.COPYING || this.stage == Stage.RESUMING;
 	}
 
 	/**
@@ -68,15 +65,15 @@
 		WAITING,
 
 		/** The KV cache is copied while the generation continues on the source. */
-		PRE_COPY,
+		COPYING,
 
-		/** The generation is stopped and the rest of its KV cache is copied. */
-		STOP_AND_COPY,
+		/** The target was asked to continue the generation. */
+		RESUMING,
 
-		/** The generation resumes on the target, or will once its source has ended. */
+		/** The target continues the generation. */
 		RESUMED,
 
-		/** The migration has failed or its source has ended; it is not retried. */
+		/** The source has ended before the generation could be migrated. */
 		ABORTED
 
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -6,12 +6,14 @@
 
 import org.skylarkspring.gateway.http.HttpTextResult;
 import org.skylarkspring.gateway.model.EngineSpec;
+import org.skylarkspring.gateway.model.GenerationResumePoint;
 import org.skylarkspring.gateway.model.MigrationResult;
 
 /**
- * Migrates running generations from terminating servers to others without interrupting
- * the response: the KV cache is copied while the generation runs, then the generation is
- * stopped, the rest is copied, and the target resumes after the last delivered event.
+ * Migrates running generations to other servers without interrupting the response, when
+ * their server terminates or has failed. A generation continues from its backup if it has
+ * one, otherwise from a copy of its KV cache that is made while it runs. The source keeps
+ * running until the target responds, so that a target that refuses costs nothing.
  */
 final class GenerationMigrator {
 
@@ -34,16 +36,17 @@
 	private static final long NO_TARGET_RETRY_DELAY_MILLIS = 100;
 
 	/**
-	 * Time within which the stream of a stopped source must end, well above a round trip.
-	 * After it the source is cancelled.
+	 * Longest time for which source and target may both run the generation. The source is
+	 * then stopped even if the target has not responded, because its response may be
+	 * lost.
 	 */
-	private static final long SOURCE_END_TIMEOUT_MILLIS = 60;
+	private static final long MAXIMUM_OVERLAP_MILLIS = 250;
 
 	/**
-	 * Maximum share of the target event interval that the final copy may take. The rest
-	 * is needed to send the request to the target and to receive its first event.
+	 * Number of targets that may fail to continue a generation before it is left on its
+	 * source.
 	 */
-	private static final double FINAL_COPY_MAXIMUM_INTERVAL_FRACTION = 0.4;
+	private static final int MAXIMUM_FAILED_RESUMES = 3;
 
 	private final GatewayContext context;
 
@@ -76,21 +79,34 @@
 	 */
 	void startMigration(ServerAttempt attempt) {
 		ActiveRequest request = attempt.activeRequest;
-		boolean migratable = request.route.semantics().isStreaming()
-				&& request.service.engine().map(EngineSpec::supportsMigration).orElse(false);
-		if (!migratable || request.finished || request.attempt != attempt || isMigrating(request)) {
+		boolean inProgress = request.migration != null && request.migration.isInProgress();
+		if (!isMigratable(request) || request.finished || request.attempt != attempt || inProgress) {
 			return;
 		}
 		request.migration = new GenerationMigration(attempt, this.context.scheduler.nowMillis());
-		startPreCopy(request);
+		usableBackup(attempt).ifPresentOrElse((backup) -> resumeOn(request, backup, backupResumePoint(request, backup)),
+				() -> selectTargetAndCopy(request));
+	}
+
+	private static boolean isMigratable(ActiveRequest request) {
+		return request.route.semantics().isStreaming()
+				&& request.service.engine().map(EngineSpec::supportsMigration).orElse(false);
 	}
 
-	private boolean isMigrating(ActiveRequest request) {
-		return request.migration != null && request.migration.stage != GenerationMigration.Stage.RESUMED
-				&& request.migration.stage != GenerationMigration.Stage.ABORTED;
+	// Before its first event a generation may still wait at the source, and has no
+	// backup.
+	private Optional<ServerEntry> usableBackup(ServerAttempt attempt) {
+		return Optional.ofNullable(attempt.backup)
+			.filter((backup) -> attempt.relayedEvents > 0)
+			.filter(this.serverSelector::isUsable);
 	}
 
-	private void startPreCopy(ActiveRequest request) {
+	private static GenerationResumePoint backupResumePoint(ActiveRequest request, ServerEntry backup) {
+		return new GenerationResumePoint(backup.registration.address(), request.id(),
+				request.eventOrder.lastDeliveredId());
+	}
+
+	private void selectTargetAndCopy(ActiveRequest request) {
 		GenerationMigration migration = request.migration;
 		if (request.finished || request.attempt != migration.source) {
 			migration.stage = GenerationMigration.Stage.ABORTED;
@@ -102,162 +118,135 @@
 			// Capacity may become available while the source still runs, also on
 			// servers that rejected the copy before.
 			migration.rejectedTargetIds.clear();
-			this.context.scheduler.schedule(NO_TARGET_RETRY_DELAY_MILLIS, () -> startPreCopy(request));
+			this.context.scheduler.schedule(NO_TARGET_RETRY_DELAY_MILLIS, () -> selectTargetAndCopy(request));
 			return;
 		}
 		migration.reserveTokens(target.get(), request.reservedTokens);
-		migration.stage = GenerationMigration.Stage.PRE_COPY;
-		requestCopy(request, false);
-	}
-
-	private void requestCopy(ActiveRequest request, boolean finalCopy) {
-		GenerationMigration migration = request.migration;
-		long copyStartedMillis = this.context.scheduler.nowMillis();
+		migration.stage = GenerationMigration.Stage.COPYING;
+		long startedMillis = this.context.scheduler.nowMillis();
 		this.context.client.sendAsync(migration.source.server.registration.address(),
-				this.context.serverProtocol.buildMigrationRequest(request.id(), migration.target.registration.address(),
-						finalCopy),
-				COPY_TIMEOUT_MILLIS,
-				(result) -> onCopyResult(request, migration, finalCopy, result, copyStartedMillis));
+				this.context.serverProtocol.buildMigrationRequest(request.id(),
+						migration.target.registration.address()),
+				COPY_TIMEOUT_MILLIS, (result) -> onCopyResult(request, migration, result, startedMillis));
 	}
 
-	private void onCopyResult(ActiveRequest request, GenerationMigration migration, boolean finalCopy,
-			HttpTextResult response, long copyStartedMillis) {
+	private void onCopyResult(ActiveRequest request, GenerationMigration migration, HttpTextResult response,
+			long startedMillis) {
 		MigrationResult result = this.context.serverProtocol.decodeMigrationResult(response);
-		this.context.log.logRequest(request.id(), finalCopy ? "final copy finished" : "memory copy finished",
+		this.context.log.logRequest(request.id(), "KV cache copy finished",
 				Map.of("result", String.valueOf(result), "source", migration.source.server.registration.id(), "target",
 						migration.target.registration.id(), "millis",
-						this.context.scheduler.nowMillis() - copyStartedMillis));
-		if (request.finished || request.migration != migration
-				|| migration.stage == GenerationMigration.Stage.RESUMED) {
+						this.context.scheduler.nowMillis() - startedMillis));
+		if (request.finished || request.attempt != migration.source) {
+			migration.stage = GenerationMigration.Stage.ABORTED;
+			migration.releaseReservation();
 			return;
 		}
 		if (result instanceof MigrationResult.Copied copied) {
 			migration.copyHandle = copied.handle();
-			migration.hasCopy = true;
-			if (finalCopy) {
-				migration.stage = GenerationMigration.Stage.RESUMED;
-				resumeAfterSourceEnds(request);
-			}
-			else if (request.attempt == migration.source) {
-				stopAndCopyOrResume(request, migration, this.context.scheduler.nowMillis() - copyStartedMillis);
-			}
+			resumeOn(request, migration.target,
+					new GenerationResumePoint(migration.source.server.registration.address(), copied.handle(),
+							request.eventOrder.lastDeliveredId()));
 			return;
 		}
-		if (result instanceof MigrationResult.Unknown && request.attempt == migration.source) {
-			// The engine has not started the request, so there is nothing to copy yet.
-			migration.releaseReservation();
-			migration.stage = GenerationMigration.Stage.WAITING;
-			this.context.scheduler.schedule(NOT_STARTED_RETRY_DELAY_MILLIS, () -> startPreCopy(request));
-			return;
-		}
-		if (migration.hasCopy) {
-			resumeFromLastCopy(request, migration);
-			return;
-		}
-		onCopyFailed(request, migration, finalCopy);
-	}
-
-	// Copies of other generations queue on the same link, so a fast copy indicates that
-	// the final copy will be fast as well. If copies are queueing, the target resumes
-	// from the copy it has and prefills the few tokens generated since then, because
-	// another copy would wait behind the others.
-	private void stopAndCopyOrResume(ActiveRequest request, GenerationMigration migration, long copyMillis) {
-		long targetIntervalMillis = request.route.targetEventIntervalMillis();
-		if (targetIntervalMillis == 0 || copyMillis <= FINAL_COPY_MAXIMUM_INTERVAL_FRACTION * targetIntervalMillis) {
-			migration.stage = GenerationMigration.Stage.STOP_AND_COPY;
-			requestCopy(request, true);
-		}
-		else {
-			resumeWithoutFinalCopy(request, migration);
+		migration.releaseReservation();
+		migration.stage = GenerationMigration.Stage.WAITING;
+		// The engine does not know a generation that it has not started.
+		boolean notStarted = result instanceof MigrationResult.Unknown;
+		if (!notStarted) {
+			migration.rejectedTargetIds.add(migration.target.registration.id());
 		}
+		this.context.scheduler.schedule(notStarted ? NOT_STARTED_RETRY_DELAY_MILLIS : COPY_RETRY_DELAY_MILLIS,
+				() -> selectTargetAndCopy(request));
 	}
 
-	// Cancels the source and resumes on the target without a final copy.
-	private void resumeWithoutFinalCopy(ActiveRequest request, GenerationMigration migration) {
-		if (request.finished || request.attempt != migration.source) {
-			return;
-		}
-		migration.stage = GenerationMigration.Stage.RESUMED;
-		migration.source.cancel();
-		this.activeRequests.detachAttempt(migration.source);
-		resumeOnTarget(request);
+	private void resumeOn(ActiveRequest request, ServerEntry target, GenerationResumePoint resumePoint) {
+		GenerationMigration migration = request.migration;
+		migration.releaseReservation();
+		migration.target = target;
+		migration.stage = GenerationMigration.Stage.RESUMING;
+		ServerAttempt successor = this.dispatcher.sendSuccessor(request, target, resumePoint);
+		this.context.scheduler.schedule(MAXIMUM_OVERLAP_MILLIS, () -> {
+			if (successor.isSuccessor() && !request.finished) {
+				replaceSource(request, "overlap limit reached");
+			}
+		});
 	}
 
-	private void resumeFromLastCopy(ActiveRequest request, GenerationMigration migration) {
-		if (migration.sourceEnded) {
-			resumeOnTarget(request);
-		}
-		else {
-			resumeWithoutFinalCopy(request, migration);
-		}
+	/**
+	 * Replaces the source by the server that continues a generation, which has sent its
+	 * first event.
+	 * @param successor the attempt on that server
+	 */
+	void onSuccessorStarted(ServerAttempt successor) {
+		replaceSource(successor.activeRequest, "target continues");
 	}
 
-	private void onCopyFailed(ActiveRequest request, GenerationMigration migration, boolean finalCopy) {
-		migration.releaseReservation();
-		migration.rejectedTargetIds.add(migration.target.registration.id());
-		if (finalCopy || request.attempt != migration.source) {
+	/**
+	 * Handles the failure of the server that was to continue a generation, while the
+	 * source still runs.
+	 * @param successor the failed attempt on that server
+	 */
+	void onSuccessorFailed(ServerAttempt successor) {
+		ActiveRequest request = successor.activeRequest;
+		GenerationMigration migration = request.migration;
+		migration.copyHandle = null;
+		migration.failedResumes++;
+		if (migration.failedResumes >= MAXIMUM_FAILED_RESUMES) {
 			migration.stage = GenerationMigration.Stage.ABORTED;
-			if (migration.sourceEnded) {
-				this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
-						"generation stopped on the source, but its final copy failed");
-			}
 			return;
 		}
+		migration.rejectedTargetIds.add(successor.server.registration.id());
 		migration.stage = GenerationMigration.Stage.WAITING;
-		this.context.scheduler.schedule(COPY_RETRY_DELAY_MILLIS, () -> startPreCopy(request));
+		selectTargetAndCopy(request);
+	}
+
+	private void replaceSource(ActiveRequest request, String reason) {
+		ServerAttempt successor = request.successor;
+		this.activeRequests.cancelAttempt(request.attempt);
+		promoteSuccessor(request, successor, reason);
 	}
 
-	private void resumeAfterSourceEnds(ActiveRequest request) {
+	private void promoteSuccessor(ActiveRequest request, ServerAttempt successor, String reason) {
+		long now = this.context.scheduler.nowMillis();
 		GenerationMigration migration = request.migration;
-		if (migration.sourceEnded) {
-			resumeOnTarget(request);
-			return;
+		migration.stage = GenerationMigration.Stage.RESUMED;
+		request.successor = null;
+		request.attempt = successor;
+		this.context.log.logRequest(request.id(), "generation resumed on target",
+				Map.of("source", migration.source.server.registration.id(), "target",
+						successor.server.registration.id(), "reason", reason, "last-event",
+						request.eventOrder.lastDeliveredId().orElse(""), "millis-since-notice",
+						now - migration.startedMillis, "millis-since-event",
+						(request.lastEventMillis < 0) ? -1 : now - request.lastEventMillis));
+		this.context.metrics.recordDecision("generation carried over");
+		if (!successor.server.acceptsRequests()) {
+			startMigration(successor);
 		}
-		this.context.scheduler.schedule(SOURCE_END_TIMEOUT_MILLIS, () -> {
-			if (!request.finished && request.attempt == migration.source) {
-				migration.source.cancel();
-				this.activeRequests.detachAttempt(migration.source);
-				resumeOnTarget(request);
-			}
-		});
 	}
 
 	/**
-	 * Takes over a request whose source attempt has failed if it can be resumed on the
-	 * target.
+	 * Takes over a generation whose attempt has failed, if another server can continue
+	 * it.
 	 * @param attempt the failed attempt
-	 * @return {@code true} if the migration continues the request
+	 * @return {@code true} if the generation continues
 	 */
-	boolean takeOverEndedSource(ServerAttempt attempt) {
+	boolean takeOverFailedSource(ServerAttempt attempt) {
 		ActiveRequest request = attempt.activeRequest;
-		GenerationMigration migration = request.migration;
-		if (migration == null || migration.source != attempt || migration.stage == GenerationMigration.Stage.ABORTED
-				|| migration.stage == GenerationMigration.Stage.WAITING) {
-			return false;
-		}
-		migration.sourceEnded = true;
-		if (migration.stage == GenerationMigration.Stage.RESUMED
-				|| (migration.stage == GenerationMigration.Stage.PRE_COPY && migration.hasCopy)) {
-			resumeOnTarget(request);
+		if (request.successor != null) {
+			promoteSuccessor(request, request.successor, "source ended");
 			return true;
 		}
-		return migration.stage == GenerationMigration.Stage.STOP_AND_COPY;
-	}
-
-	private void resumeOnTarget(ActiveRequest request) {
-		GenerationMigration migration = request.migration;
-		if (request.finished || request.attempt != null) {
-			return;
+		Optional<ServerEntry> backup = isMigratable(request) ? usableBackup(attempt) : Optional.empty();
+		if (backup.isEmpty()) {
+			return false;
 		}
-		migration.stage = GenerationMigration.Stage.RESUMED;
-		migration.releaseReservation();
-		this.context.log.logRequest(request.id(), "generation resumed on target", Map.of("source",
-				migration.source.server.registration.id(), "target", migration.target.registration.id(), "last-event",
-				request.eventOrder.lastDeliveredId().orElse(""), "millis-since-notice",
-				this.context.scheduler.nowMillis() - migration.startedMillis, "millis-since-event",
-				(request.lastEventMillis < 0) ? -1 : this.context.scheduler.nowMillis() - request.lastEventMillis));
-		this.context.metrics.recordDecision("generation carried over");
-		this.dispatcher.send(request, migration.target, migration.resumePoint(request.eventOrder.lastDeliveredId()));
+		request.migration = new GenerationMigration(attempt, this.context.scheduler.nowMillis());
+		request.migration.target = backup.get();
+		request.migration.stage = GenerationMigration.Stage.RESUMED;
+		this.context.metrics.recordDecision("generation continued from backup");
+		this.dispatcher.send(request, backup.get(), Optional.of(backupResumePoint(request, backup.get())));
+		return true;
 	}
 
 	/**
@@ -287,7 +276,7 @@
 			return;
 		}
 		migration.releaseReservation();
-		if (migration.hasCopy && migration.stage != GenerationMigration.Stage.RESUMED) {
+		if (migration.copyHandle != null && migration.stage != GenerationMigration.Stage.RESUMED) {
 			releaseCopy(migration);
 		}
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/HttpRelayClient.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/HttpRelayClient.java
@@ -32,7 +32,8 @@
 	public void call(String address, RelayRequest request, long timeoutMillis,
 			Consumer<Optional<RelayResponse>> callback) {
 		HttpTextRequest httpRequest = new HttpTextRequest(Methods.POST, StoreRelayHandler.PATH,
-				Optional.of(this.gson.toJson(request)));
+				Optional.of(this.gson.toJson(request)))
+			.withLargeResponse();
 		this.client.sendAsync(address, httpRequest, timeoutMillis, (result) -> callback.accept(parse(result)));
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -1,6 +1,5 @@
 package org.skylarkspring.gateway.internal;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
@@ -16,6 +15,7 @@
 import io.undertow.util.SameThreadExecutor;
 import org.xnio.IoUtils;
 
+import org.skylarkspring.gateway.model.CallerLimits;
 import org.skylarkspring.gateway.model.RequestHead;
 import org.skylarkspring.gateway.model.RouteSpec;
 import org.skylarkspring.gateway.model.RoutingTable;
@@ -31,13 +31,7 @@
 	/** Maximum time that a request waits for the store to confirm the configuration. */
 	private static final long CONFIGURATION_CHECK_TIMEOUT_MILLIS = 300;
 
-	/**
-	 * Maximum total size of buffered request bodies, a quarter of the smallest heap in
-	 * use.
-	 */
-	private static final long MAXIMUM_BUFFERED_BODY_BYTES = 24L * 1024 * 1024;
-
-	private static final long RETRY_AFTER_MILLIS = 500;
+	private static final String MEMORY_EXHAUSTED_REASON = "memory for request bodies is exhausted";
 
 	private static final int BAD_REQUEST = 400;
 
@@ -51,8 +45,6 @@
 
 	private static final int REQUEST_HEADER_FIELDS_TOO_LARGE = 431;
 
-	private static final int SERVICE_UNAVAILABLE = 503;
-
 	private final GatewayContext context;
 
 	private final ConfigurationPoller configuration;
@@ -65,6 +57,8 @@
 
 	private final CallerConnectionTracker connections;
 
+	private final RequestRejector rejector;
+
 	IngressHandler(GatewayContext context, ConfigurationPoller configuration, RequestDispatcher dispatcher,
 			ActiveRequestRegistry activeRequests, Lifecycle lifecycle, CallerConnectionTracker connections) {
 		this.context = context;
@@ -73,6 +67,7 @@
 		this.activeRequests = activeRequests;
 		this.lifecycle = lifecycle;
 		this.connections = connections;
+		this.rejector = new RequestRejector(context, configuration, activeRequests.bodyMemory());
 	}
 
 	@Override
@@ -102,7 +97,7 @@
 				: this.context.callerProtocol.decodeRequestHeaders(exchange.getRequestHeaders());
 		if (head.isEmpty()) {
 			exchange.setPersistent(false);
-			reject(exchange, "", BAD_REQUEST, "malformed request head");
+			this.rejector.reject(exchange, "", BAD_REQUEST, "malformed request head");
 			return;
 		}
 		routeRequest(exchange, head.get(), arrivedMillis, true);
@@ -120,7 +115,7 @@
 	private void routeRequest(HttpServerExchange exchange, RequestHead head, long arrivedMillis, boolean mayRecheck) {
 		Optional<RoutingTable> table = this.configuration.routingTable();
 		if (table.isEmpty()) {
-			rejectWithRetryAfter(exchange, head.requestId(), "no configuration received yet");
+			this.rejector.rejectWithRetryAfter(exchange, head.requestId(), "no configuration received yet");
 			return;
 		}
 		Optional<RouteSpec> route = table.get().findRoute(exchange.getHostName(), exchange.getRequestPath());
@@ -128,14 +123,15 @@
 		boolean keyRequired = route.isPresent() && table.get().isApiKeyRequired() && !route.get().anonymousAllowed();
 		boolean denied = route.isEmpty() || (keyRequired && workspace.isEmpty());
 		boolean keyUnverified = workspace.isPresent() && !this.configuration.isFresh();
-		if ((denied || keyUnverified) && mayRecheck) {
+		boolean outdated = denied && !this.configuration.isRecent();
+		if ((outdated || keyUnverified) && mayRecheck) {
 			rerouteAfterConfigurationCheck(exchange, head, arrivedMillis);
 		}
 		else if (keyUnverified || (denied && !this.configuration.isFresh())) {
-			rejectWithRetryAfter(exchange, head.requestId(), "configuration is stale");
+			this.rejector.rejectWithRetryAfter(exchange, head.requestId(), "configuration is stale");
 		}
 		else if (denied) {
-			reject(exchange, head.requestId(), route.isEmpty() ? NOT_FOUND : UNAUTHORIZED,
+			this.rejector.reject(exchange, head.requestId(), route.isEmpty() ? NOT_FOUND : UNAUTHORIZED,
 					route.isEmpty() ? "no matching route" : "API key missing or unknown");
 		}
 		else {
@@ -160,36 +156,37 @@
 		Optional<ServiceSpec> service = table
 			.findService(route.selectService(ThreadLocalRandom.current().nextDouble()));
 		if (service.isEmpty()) {
-			rejectWithRetryAfter(exchange, head.requestId(), "service not configured");
+			this.rejector.rejectWithRetryAfter(exchange, head.requestId(), "service not configured");
 			return;
 		}
 		if (this.lifecycle.shouldReject(route.semantics())) {
-			rejectWithRetryAfter(exchange, head.requestId(), "instance is shutting down");
+			this.rejector.rejectWithRetryAfter(exchange, head.requestId(), "instance is shutting down");
 			return;
 		}
-		if (headBytes(exchange) > table.callerLimits().maximumHeaderBytes()) {
+		CallerLimits limits = table.callerLimits();
+		if (headBytes(exchange) > limits.maximumHeaderBytes()) {
 			exchange.setPersistent(false);
-			reject(exchange, head.requestId(), REQUEST_HEADER_FIELDS_TOO_LARGE,
-					"request head exceeds the maximum of " + table.callerLimits().maximumHeaderBytes() + " bytes");
+			this.rejector.reject(exchange, head.requestId(), REQUEST_HEADER_FIELDS_TOO_LARGE,
+					"request head exceeds the maximum of " + limits.maximumHeaderBytes() + " bytes");
 			return;
 		}
 		long length = exchange.getRequestContentLength();
-		if (length > table.callerLimits().maximumBodyBytes()) {
-			exchange.setPersistent(false);
-			reject(exchange, head.requestId(), CONTENT_TOO_LARGE,
-					"request body exceeds the maximum of " + table.callerLimits().maximumBodyBytes() + " bytes");
+		if (length > limits.maximumBodyBytes()) {
+			this.rejector.rejectAndClose(exchange, head.requestId(), CONTENT_TOO_LARGE,
+					"request body exceeds the maximum of " + limits.maximumBodyBytes() + " bytes");
 			return;
 		}
-		if (this.activeRequests.bufferedBodyBytes() + Math.max(0, length) > MAXIMUM_BUFFERED_BODY_BYTES) {
-			rejectWithRetryAfter(exchange, head.requestId(),
-					"buffered request bodies would exceed " + MAXIMUM_BUFFERED_BODY_BYTES + " bytes");
+		if (!this.activeRequests.bodyMemory().hasRoomFor(Math.max(0, length))) {
+			this.rejector.rejectWithRetryAfter(exchange, head.requestId(), MEMORY_EXHAUSTED_REASON);
 			return;
 		}
 		int priority = workspace.map(WorkspaceSpec::priority).orElse(OptionalInt.empty()).orElse(route.priority());
-		readBody(exchange, table,
-				(body) -> startRequest(new ActiveRequest(exchange, head, route, service.get(),
-						workspace.map(WorkspaceSpec::name), priority, body, forwardedHeaders(exchange), arrivedMillis)),
-				head);
+		Consumer<byte[]> onComplete = (bytes) -> startRequest(new ActiveRequest(exchange, head, route, service.get(),
+				workspace.map(WorkspaceSpec::name), priority, bytes, forwardedHeaders(exchange), arrivedMillis));
+		RequestBodyReader.read(exchange,
+				new RequestBodyReader.Limits(limits.maximumBodyBytes(), limits.idleTimeoutMillis(),
+						this.activeRequests.bodyMemory()),
+				this.context.scheduler, (body) -> onBodyRead(exchange, head, limits, body, onComplete));
 	}
 
 	private void startRequest(ActiveRequest request) {
@@ -197,25 +194,25 @@
 		this.dispatcher.start(request);
 	}
 
-	private void readBody(HttpServerExchange exchange, RoutingTable table, Consumer<byte[]> onBodyComplete,
-			RequestHead head) {
-		Scheduler.Timer timer = this.context.scheduler.schedule(table.callerLimits().idleTimeoutMillis(), () -> {
-			exchange.setPersistent(false);
-			reject(exchange, head.requestId(), REQUEST_TIMEOUT,
-					"request body not received within " + table.callerLimits().idleTimeoutMillis() + " ms");
-		});
-		RequestBodyReader.read(exchange, table.callerLimits().maximumBodyBytes(), (body) -> {
-			timer.cancel();
-			if (body.isEmpty()) {
-				reject(exchange, head.requestId(), CONTENT_TOO_LARGE,
-						"request body exceeds the maximum of " + table.callerLimits().maximumBodyBytes() + " bytes");
-				return;
-			}
-			onBodyComplete.accept(body.get());
-		}, () -> {
-			timer.cancel();
+	private void onBodyRead(HttpServerExchange exchange, RequestHead head, CallerLimits limits, RequestBody body,
+			Consumer<byte[]> onComplete) {
+		if (body instanceof RequestBody.Complete complete) {
+			onComplete.accept(complete.bytes());
+		}
+		else if (body instanceof RequestBody.TooLarge) {
+			this.rejector.rejectAndClose(exchange, head.requestId(), CONTENT_TOO_LARGE,
+					"request body exceeds the maximum of " + limits.maximumBodyBytes() + " bytes");
+		}
+		else if (body instanceof RequestBody.TimedOut) {
+			this.rejector.rejectAndClose(exchange, head.requestId(), REQUEST_TIMEOUT,
+					"request body not received within " + limits.idleTimeoutMillis() + " ms");
+		}
+		else if (body instanceof RequestBody.MemoryExhausted) {
+			this.rejector.rejectWithRetryAfterAndClose(exchange, head.requestId(), MEMORY_EXHAUSTED_REASON);
+		}
+		else {
 			IoUtils.safeClose(exchange.getConnection());
-		});
+		}
 	}
 
 	private HeaderMap forwardedHeaders(HttpServerExchange exchange) {
@@ -243,22 +240,4 @@
 		return bytes;
 	}
 
-	private void rejectWithRetryAfter(HttpServerExchange exchange, String requestId, String reason) {
-		this.context.callerProtocol.encodeRetryAfter(exchange.getResponseHeaders(), RETRY_AFTER_MILLIS);
-		reject(exchange, requestId, SERVICE_UNAVAILABLE, reason);
-	}
-
-	private void reject(HttpServerExchange exchange, String requestId, int status, String reason) {
-		if (exchange.isResponseStarted()) {
-			return;
-		}
-		this.context.metrics.recordOutcome("", String.valueOf(status));
-		this.context.log.logRequest(requestId, "rejected",
-				Map.of("status", status, "reason", reason, "path", exchange.getRequestPath(), "configuration-version",
-						this.configuration.routingTable().map(RoutingTable::version).orElse(-1L),
-						"configuration-age-millis", this.configuration.ageMillis()));
-		exchange.setStatusCode(status);
-		exchange.endExchange();
-	}
-
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/InstanceRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/InstanceRegistry.java
@@ -23,6 +23,9 @@
 
 	private static final long WRITE_RETRY_DELAY_MILLIS = 1_000;
 
+	/** Time after the start at which the store is read even if no instance is known. */
+	private static final long MAXIMUM_LIST_WAIT_MILLIS = 1_000;
+
 	private static final String PEER_ADDRESS_KEY = "peerAddress";
 
 	private static final String DATA_CENTRE_KEY = "dataCentre";
@@ -35,12 +38,33 @@
 
 	private final PeerTable peers;
 
+	/** Task to run after the first list, {@code null} if there is none. */
+	private Runnable afterFirstList;
+
 	InstanceRegistry(GatewayContext context, ObjectStore store, PeerTable peers) {
 		this.context = context;
 		this.store = store;
 		this.peers = peers;
 	}
 
+	/**
+	 * Runs a task once the instances have been listed, or after a while if they cannot be
+	 * listed.
+	 * @param task task to run, once
+	 */
+	void runAfterFirstList(Runnable task) {
+		this.afterFirstList = task;
+		this.context.scheduler.schedule(MAXIMUM_LIST_WAIT_MILLIS, this::runFirstListTask);
+	}
+
+	private void runFirstListTask() {
+		Runnable task = this.afterFirstList;
+		this.afterFirstList = null;
+		if (task != null) {
+			task.run();
+		}
+	}
+
 	/** Registers this instance in the store and retries until the write succeeds. */
 	void register() {
 		GatewaySettings settings = this.context.settings;
@@ -68,6 +92,7 @@
 	public void onListed(List<StoredObject> all, boolean afterOutage) {
 		this.peers.retainAll(all.stream().map(StoredObject::name).toList());
 		all.forEach(this::updatePeer);
+		runFirstListTask();
 	}
 
 	@Override
@@ -82,7 +107,9 @@
 
 	private void updatePeer(StoredObject object) {
 		Optional<String> dataCentre = primitiveValue(object, DATA_CENTRE_KEY).map(JsonElement::getAsString);
-		double cores = primitiveValue(object, CORES_KEY).map(JsonElement::getAsDouble).orElse(0.0);
+		double cores = primitiveValue(object, CORES_KEY).filter((value) -> value.getAsJsonPrimitive().isNumber())
+			.map(JsonElement::getAsDouble)
+			.orElse(0.0);
 		primitiveValue(object, PEER_ADDRESS_KEY).map(JsonElement::getAsString)
 			.ifPresent((address) -> this.peers
 				.addOrUpdate(new ClusterMember(object.name(), dataCentre.orElse(""), cores), address));
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ObjectInformer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ObjectInformer.java
@@ -29,7 +29,7 @@
 	 * Length of a store outage after which entries may have expired because their writers
 	 * could not reach the store either.
 	 */
-	private static final long OUTAGE_THRESHOLD_MILLIS = 700;
+	private static final long OUTAGE_THRESHOLD_MILLIS = 400;
 
 	private final ObjectStore store;
 
@@ -89,7 +89,7 @@
 		}
 		this.failingSinceMillis = -1;
 		this.revision = watchRevision;
-		this.listener.onListed(List.copyOf(all), afterOutage);
+		applySafely(() -> this.listener.onListed(List.copyOf(all), afterOutage));
 		watch();
 	}
 
@@ -97,7 +97,7 @@
 		this.store.watch(this.kind, this.revision, this.watchTimeoutMillis, (result) -> {
 			if (result instanceof StoreResult.Changed changed) {
 				this.revision = Math.max(this.revision, changed.revision());
-				changed.changes().forEach(this.listener::onChanged);
+				changed.changes().forEach((change) -> applySafely(() -> this.listener.onChanged(change)));
 				continueWatch(changed);
 			}
 			else if (result instanceof StoreResult.HistoryGone) {
@@ -111,6 +111,17 @@
 		});
 	}
 
+	// Objects come from other writers. One that cannot be applied must not end the watch.
+	private void applySafely(Runnable application) {
+		try {
+			application.run();
+		}
+		catch (RuntimeException ex) {
+			this.log.logStateChange("object of the store could not be applied and is ignored",
+					Map.of("kind", this.kind, "error", String.valueOf(ex)));
+		}
+	}
+
 	// Each watch counts as a call to the platform. Changes often occur several at a time,
 	// so the next watch is delayed to collect them.
 	private void continueWatch(StoreResult.Changed changed) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadSynchronizer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadSynchronizer.java
@@ -59,6 +59,8 @@
 
 	private final ServerTable servers;
 
+	private final PeerRequestBodies bodies;
+
 	private boolean reportScheduled;
 
 	private Scheduler.Timer nextReportTimer;
@@ -67,6 +69,7 @@
 		this.context = context;
 		this.peers = peers;
 		this.servers = servers;
+		this.bodies = new PeerRequestBodies(context.scheduler, context.log);
 	}
 
 	void start() {
@@ -110,22 +113,24 @@
 	}
 
 	void handleRequest(HttpServerExchange exchange) {
-		exchange.getRequestReceiver().receiveFullString((received, json) -> {
-			Optional<PeerLoadReport> report = parse(json);
-			if (report.isEmpty()) {
-				received.setStatusCode(BAD_REQUEST);
-				received.endExchange();
-				return;
-			}
-			applyReport(report.get());
-			if (report.get().relay()) {
-				received.setStatusCode(NO_CONTENT);
-				received.endExchange();
-				return;
-			}
-			received.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-			received.getResponseSender().send(createResponseFor(report.get().instanceId()));
-		});
+		this.bodies.read(exchange, (json) -> respond(exchange, json));
+	}
+
+	private void respond(HttpServerExchange exchange, String json) {
+		Optional<PeerLoadReport> report = parse(json);
+		if (report.isEmpty()) {
+			exchange.setStatusCode(BAD_REQUEST);
+			exchange.endExchange();
+			return;
+		}
+		applyReport(report.get());
+		if (report.get().relay()) {
+			exchange.setStatusCode(NO_CONTENT);
+			exchange.endExchange();
+			return;
+		}
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+		exchange.getResponseSender().send(createResponseFor(report.get().instanceId()));
 	}
 
 	private Optional<PeerLoadReport> parse(String json) {
@@ -161,6 +166,7 @@
 
 	private void sendReport() {
 		this.reportScheduled = false;
+		reschedulePeriodicReport();
 		if (this.peers.isRelay()) {
 			reportToRelays();
 		}
@@ -168,7 +174,6 @@
 			reportToAssignedRelay(() -> {
 			});
 		}
-		reschedulePeriodicReport();
 	}
 
 	private void reschedulePeriodicReport() {
@@ -241,7 +246,7 @@
 	}
 
 	private HttpTextRequest createRequest(PeerLoadReport report) {
-		return new HttpTextRequest(Methods.POST, PATH, Optional.of(this.gson.toJson(report)));
+		return new HttpTextRequest(Methods.POST, PATH, Optional.of(this.gson.toJson(report))).withLargeResponse();
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
@@ -31,12 +31,14 @@
 
 	private final Map<String, PeerEntry> peers = new LinkedHashMap<>();
 
+	/**
+	 * Ids of the relays, {@code null} if the members have changed since the selection.
+	 */
 	private Set<String> relayIds;
 
 	PeerTable(ClusterMember self, double coldBurstAllowance) {
 		this.self = self;
 		this.coldBurstAllowance = coldBurstAllowance;
-		selectRelays();
 	}
 
 	/**
@@ -59,23 +61,27 @@
 		PeerEntry existing = this.peers.get(member.instanceId());
 		if (existing == null || !existing.address.equals(address) || !existing.member.equals(member)) {
 			this.peers.put(member.instanceId(), new PeerEntry(member, address));
-			selectRelays();
+			this.relayIds = null;
 		}
 	}
 
 	void remove(String instanceId) {
 		this.peers.remove(instanceId);
-		selectRelays();
+		this.relayIds = null;
 	}
 
 	void retainAll(Collection<String> instanceIds) {
 		this.peers.keySet().retainAll(instanceIds);
-		selectRelays();
+		this.relayIds = null;
 	}
 
-	private void selectRelays() {
-		this.relayIds = RelaySelector.selectRelays(
-				Stream.concat(Stream.of(this.self), this.peers.values().stream().map((peer) -> peer.member)).toList());
+	private Set<String> relayIds() {
+		if (this.relayIds == null) {
+			this.relayIds = RelaySelector.selectRelays(
+					Stream.concat(Stream.of(this.self), this.peers.values().stream().map((peer) -> peer.member))
+						.toList());
+		}
+		return this.relayIds;
 	}
 
 	/**
@@ -84,7 +90,7 @@
 	 * to one relay
 	 */
 	boolean isRelay() {
-		return this.relayIds.contains(this.self.instanceId());
+		return relayIds().contains(this.self.instanceId());
 	}
 
 	/**
@@ -92,7 +98,8 @@
 	 * @return table entries of the relays
 	 */
 	List<PeerEntry> otherRelays() {
-		return this.peers.values().stream().filter((peer) -> this.relayIds.contains(peer.member.instanceId())).toList();
+		Set<String> relays = relayIds();
+		return this.peers.values().stream().filter((peer) -> relays.contains(peer.member.instanceId())).toList();
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayRequest.java
@@ -16,9 +16,30 @@
  * @param waitMillis maximum time a watch waits for a change, in milliseconds
  * @param told list with the load report of the requesting instance, empty unless the
  * configuration is read
+ * @param acceptsUnchanged whether the relay may respond that the configuration is
+ * unchanged, {@code null} in requests of earlier versions, which require the object
  */
 record RelayRequest(Operation verb, ObjectKind kind, String source, long revision, long waitMillis,
-		List<PeerLoadReport> told) {
+		List<PeerLoadReport> told, Boolean acceptsUnchanged) {
+
+	RelayRequest(Operation verb, ObjectKind kind, String source, long revision, long waitMillis) {
+		this(verb, kind, source, revision, waitMillis, List.of(), null);
+	}
+
+	/**
+	 * Creates a request for the configuration.
+	 * @param revision revision of the configuration known to the instance, negative for
+	 * none
+	 * @param report load report of the instance
+	 * @return the request
+	 */
+	static RelayRequest readConfiguration(long revision, PeerLoadReport report) {
+		return new RelayRequest(Operation.READ, ObjectKind.CONFIGURATION, "", revision, 0, List.of(report), true);
+	}
+
+	boolean allowsUnchanged(long currentRevision) {
+		return Boolean.TRUE.equals(this.acceptsUnchanged) && this.revision == currentRevision;
+	}
 
 	boolean hasRequiredFields() {
 		return this.verb != null && this.kind != null && this.source != null && this.told != null
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayResponse.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayResponse.java
@@ -43,6 +43,9 @@
 		/** The response contains the configuration or all objects of the kind. */
 		LISTED,
 
+		/** The configuration still has the revision of the request. */
+		UNCHANGED,
+
 		/** The response contains the changes since the revision. */
 		CHANGED,
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedObjectStore.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedObjectStore.java
@@ -4,11 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.StoreResult;
+import org.skylarkspring.gateway.model.StoredObject;
 import org.skylarkspring.gateway.port.ObjectStore;
 
 /**
@@ -36,6 +38,10 @@
 	 */
 	private static final long MAXIMUM_RELAY_AGE_MILLIS = 1_300;
 
+	private static final String UNRESPONSIVE_RELAY = "no response from relay, using another relay or the store";
+
+	private static final String RELAY_WITHOUT_STORE = "relay cannot reach the store";
+
 	private final ObjectStore directStore;
 
 	private final RelayClient relayClient;
@@ -60,6 +66,11 @@
 
 	private final Map<ObjectKind, Consumer<StoreResult>> pendingWatches = new EnumMap<>(ObjectKind.class);
 
+	private final StoreFallbackLimiter fallbackLimiter;
+
+	/** Last object read with the configuration, {@code null} before the first read. */
+	private StoredObject configurationObject;
+
 	private long configurationRevision = -1;
 
 	RelayedObjectStore(ObjectStore directStore, RelayClient relayClient, Scheduler scheduler, DecisionLog log,
@@ -70,6 +81,7 @@
 		this.log = log;
 		this.peers = peers;
 		this.ownReportSupplier = ownReportSupplier;
+		this.fallbackLimiter = new StoreFallbackLimiter(scheduler, () -> ThreadLocalRandom.current().nextDouble());
 	}
 
 	@Override
@@ -79,27 +91,61 @@
 			readDirectly(kind, name, result);
 			return;
 		}
-		RelayRequest request = new RelayRequest(RelayRequest.Operation.READ, kind, "", this.configurationRevision, 0,
-				List.of(this.ownReportSupplier.get()));
+		RelayRequest request = RelayRequest.readConfiguration(
+				(this.configurationObject != null) ? this.configurationRevision : -1, this.ownReportSupplier.get());
 		this.relayClient.call(relay.get().address, request, MAXIMUM_READ_WAIT_MILLIS + RELAY_TIMEOUT_MARGIN_MILLIS,
 				(response) -> {
-					Optional<RelayResponse> usable = response
-						.filter((found) -> found.outcome() == RelayResponse.Outcome.LISTED)
-						.filter((found) -> found.ageMillis() <= MAXIMUM_RELAY_AGE_MILLIS);
-					if (usable.isEmpty()) {
-						handleRelayFailure(relay.get(), kind, response);
+					if (response.isEmpty()) {
+						skipRelay(relay.get(), kind, UNRESPONSIVE_RELAY);
+						readDirectly(kind, name, result);
+					}
+					else {
+						handleReadResponse(relay.get(), kind, name, response.get(), result);
 					}
-					// A configuration read directly from the store may be newer than
-					// the relay's.
-					usable.filter((found) -> found.revision() >= this.configurationRevision)
-						.ifPresentOrElse((found) -> result.accept(toConfirmedResult(found)),
-								() -> readDirectly(kind, name, result));
 				});
 	}
 
+	private void handleReadResponse(PeerTable.PeerEntry relay, ObjectKind kind, String name, RelayResponse response,
+			Consumer<StoreResult> result) {
+		boolean current = hasConfiguration(response) && response.ageMillis() <= MAXIMUM_RELAY_AGE_MILLIS;
+		// A configuration read directly from the store may be newer than the relay's.
+		boolean older = hasConfiguration(response) && response.revision() < this.configurationRevision;
+		if (current && !older) {
+			this.fallbackLimiter.reset(kind);
+			result.accept(toConfirmedResult(response));
+		}
+		else if (older || this.configurationObject == null) {
+			readDirectly(kind, name, result);
+		}
+		else if (this.fallbackLimiter.tryAcquire(kind)) {
+			logFallback(relay, kind, response);
+			readDirectly(kind, name, (outcome) -> result.accept(recordBypass(relay, kind, outcome)));
+		}
+		else {
+			result.accept(hasConfiguration(response) ? toConfirmedResult(response)
+					: new StoreResult.Failed(RELAY_WITHOUT_STORE));
+		}
+	}
+
+	// A relay that cannot reach the store although this instance can is skipped.
+	private StoreResult recordBypass(PeerTable.PeerEntry relay, ObjectKind kind, StoreResult outcome) {
+		if (outcome instanceof StoreResult.Listed) {
+			skipRelay(relay, kind, "relay cannot reach the store although this instance can, using another relay");
+		}
+		return outcome;
+	}
+
+	private static boolean hasConfiguration(RelayResponse response) {
+		return response.outcome() == RelayResponse.Outcome.UNCHANGED
+				|| (response.outcome() == RelayResponse.Outcome.LISTED && !response.objects().isEmpty());
+	}
+
 	private StoreResult toConfirmedResult(RelayResponse response) {
-		this.configurationRevision = response.revision();
-		return new StoreResult.Listed(response.storedObjects(), response.revision(), false,
+		if (response.outcome() == RelayResponse.Outcome.LISTED) {
+			this.configurationRevision = response.revision();
+			this.configurationObject = response.storedObjects().get(0);
+		}
+		return new StoreResult.Listed(List.of(this.configurationObject), response.revision(), false,
 				response.ageMillis() - response.heldMillis());
 	}
 
@@ -112,8 +158,10 @@
 	 */
 	void readDirectly(ObjectKind kind, String name, Consumer<StoreResult> result) {
 		this.directStore.read(kind, name, (outcome) -> {
-			if (outcome instanceof StoreResult.Listed listed) {
-				this.configurationRevision = Math.max(this.configurationRevision, listed.revision());
+			if (outcome instanceof StoreResult.Listed listed && listed.revision() >= this.configurationRevision
+					&& !listed.objects().isEmpty()) {
+				this.configurationRevision = listed.revision();
+				this.configurationObject = listed.objects().get(0);
 			}
 			result.accept(outcome);
 		});
@@ -127,18 +175,35 @@
 			this.directStore.list(kind, afterName, result);
 			return;
 		}
-		RelayRequest request = new RelayRequest(RelayRequest.Operation.LIST, kind, "", 0, 0, List.of());
-		this.relayClient.call(relay.get().address, request, RELAY_TIMEOUT_MARGIN_MILLIS, (response) -> {
-			if (response.filter((found) -> found.outcome() == RelayResponse.Outcome.LISTED).isPresent()) {
-				this.listSources.put(kind, new ListSource(relay.get(), response.get().source()));
-				result.accept(new StoreResult.Listed(response.get().storedObjects(), response.get().revision(), false));
-			}
-			else {
-				handleRelayFailure(relay.get(), kind, response);
-				this.listSources.remove(kind);
-				this.directStore.list(kind, afterName, result);
-			}
-		});
+		RelayRequest request = new RelayRequest(RelayRequest.Operation.LIST, kind, "", 0, 0);
+		this.relayClient.call(relay.get().address, request, WatchCache.LIST_HOLD_MILLIS + RELAY_TIMEOUT_MARGIN_MILLIS,
+				(response) -> {
+					if (response.isEmpty()) {
+						skipRelay(relay.get(), kind, UNRESPONSIVE_RELAY);
+						this.listSources.remove(kind);
+						this.directStore.list(kind, afterName, result);
+					}
+					else {
+						handleListResponse(relay.get(), kind, response.get(), result);
+					}
+				});
+	}
+
+	private void handleListResponse(PeerTable.PeerEntry relay, ObjectKind kind, RelayResponse response,
+			Consumer<StoreResult> result) {
+		if (response.outcome() == RelayResponse.Outcome.LISTED) {
+			this.fallbackLimiter.reset(kind);
+			this.listSources.put(kind, new ListSource(relay, response.source()));
+			result.accept(new StoreResult.Listed(response.storedObjects(), response.revision(), false));
+		}
+		else if (this.fallbackLimiter.tryAcquire(kind)) {
+			logFallback(relay, kind, response);
+			this.listSources.remove(kind);
+			this.directStore.list(kind, "", (outcome) -> result.accept(recordBypass(relay, kind, outcome)));
+		}
+		else {
+			result.accept(new StoreResult.Failed(RELAY_WITHOUT_STORE));
+		}
 	}
 
 	@Override
@@ -155,7 +220,7 @@
 		}
 		this.pendingWatches.put(kind, result);
 		RelayRequest request = new RelayRequest(RelayRequest.Operation.WATCH, kind, source.get().incarnation(),
-				revision, waitMillis, List.of());
+				revision, waitMillis);
 		this.relayClient.call(relay.get().address, request, waitMillis + RELAY_TIMEOUT_MARGIN_MILLIS, (response) -> {
 			if (this.pendingWatches.remove(kind, result)) {
 				result.accept(toWatchResult(relay.get(), kind, response));
@@ -164,11 +229,12 @@
 	}
 
 	private StoreResult toWatchResult(PeerTable.PeerEntry relay, ObjectKind kind, Optional<RelayResponse> response) {
-		if (response.filter((found) -> found.outcome() == RelayResponse.Outcome.CHANGED).isPresent()) {
-			return new StoreResult.Changed(response.get().objectChanges(), response.get().revision());
+		if (response.isEmpty()) {
+			skipRelay(relay, kind, UNRESPONSIVE_RELAY);
+			return new StoreResult.HistoryGone();
 		}
-		if (response.filter((found) -> found.outcome() == RelayResponse.Outcome.HISTORY_GONE).isEmpty()) {
-			handleRelayFailure(relay, kind, response);
+		if (response.get().outcome() == RelayResponse.Outcome.CHANGED) {
+			return new StoreResult.Changed(response.get().objectChanges(), response.get().revision());
 		}
 		return new StoreResult.HistoryGone();
 	}
@@ -189,16 +255,20 @@
 
 	// Ends the pending watches immediately, so that their kinds are listed again from
 	// another relay or from the store.
-	private void handleRelayFailure(PeerTable.PeerEntry relay, ObjectKind kind, Optional<RelayResponse> response) {
-		this.log.logStateChange("no usable response from relay, using another relay or the store", Map.of("relay",
-				relay.member.instanceId(), "kind", kind, "answer",
-				response.map((found) -> found.outcome() + ", age " + found.ageMillis() + " ms").orElse("none")));
+	private void skipRelay(PeerTable.PeerEntry relay, ObjectKind kind, String reason) {
+		this.log.logStateChange(reason, Map.of("relay", relay.member.instanceId(), "kind", kind));
 		this.peers.markUnresponsive(relay, this.scheduler.nowMillis());
 		Map<ObjectKind, Consumer<StoreResult>> watches = new EnumMap<>(this.pendingWatches);
 		this.pendingWatches.clear();
 		watches.values().forEach((result) -> result.accept(new StoreResult.HistoryGone()));
 	}
 
+	private void logFallback(PeerTable.PeerEntry relay, ObjectKind kind, RelayResponse response) {
+		this.log.logStateChange("relay has no current data, calling the store",
+				Map.of("relay", relay.member.instanceId(), "kind", kind, "outcome", response.outcome(), "age-millis",
+						response.ageMillis()));
+	}
+
 	/**
 	 * Source of a list.
 	 *
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestBodyReader.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestBodyReader.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.undertow.connector.PooledByteBuffer;
@@ -12,34 +11,35 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * Reads the complete body of a request into memory. If a body exceeds the limit, the
- * remaining bytes are read and discarded, so that the caller can still read the error
- * response.
+ * Reads the complete body of a request into memory, within limits. Stops reading as soon
+ * as a limit is exceeded, because a body may be endless; the exchange then has to be
+ * ended by {@link LingeringClose}.
  */
 final class RequestBodyReader {
 
 	private static final int MAXIMUM_INITIAL_CAPACITY_BYTES = 16 * 1024;
 
-	private final HttpServerExchange exchange;
+	/** Number of bytes read before other connections get their turn. */
+	private static final int READ_BATCH_BYTES = 64 * 1024;
 
-	private final long maximumBytes;
+	private final HttpServerExchange exchange;
 
-	private final Consumer<Optional<byte[]>> onComplete;
+	private final Limits limits;
 
-	private final Runnable onFailure;
+	private final Consumer<RequestBody> callback;
 
 	private final ByteArrayOutputStream body;
 
-	private long receivedBytes;
+	private final Scheduler.Timer timer;
 
 	private boolean ended;
 
-	private RequestBodyReader(HttpServerExchange exchange, long maximumBytes, Consumer<Optional<byte[]>> onComplete,
-			Runnable onFailure) {
+	private RequestBodyReader(HttpServerExchange exchange, Limits limits, Scheduler scheduler,
+			Consumer<RequestBody> callback) {
 		this.exchange = exchange;
-		this.maximumBytes = maximumBytes;
-		this.onComplete = onComplete;
-		this.onFailure = onFailure;
+		this.limits = limits;
+		this.callback = callback;
+		this.timer = scheduler.schedule(limits.timeoutMillis(), () -> end(new RequestBody.TimedOut()));
 		this.body = new ByteArrayOutputStream(
 				(int) Math.min(MAXIMUM_INITIAL_CAPACITY_BYTES, Math.max(0, exchange.getRequestContentLength())));
 	}
@@ -47,13 +47,12 @@
 	/**
 	 * Starts reading the body.
 	 * @param exchange the exchange whose body is read
-	 * @param maximumBytes maximum size of the body, in bytes
-	 * @param onComplete receives the body, or an empty value if it exceeds the limit
-	 * @param onFailure called if the connection fails before the end of the body
+	 * @param limits limits of the body
+	 * @param scheduler timers
+	 * @param callback receives the result, exactly once
 	 */
-	static void read(HttpServerExchange exchange, long maximumBytes, Consumer<Optional<byte[]>> onComplete,
-			Runnable onFailure) {
-		RequestBodyReader reader = new RequestBodyReader(exchange, maximumBytes, onComplete, onFailure);
+	static void read(HttpServerExchange exchange, Limits limits, Scheduler scheduler, Consumer<RequestBody> callback) {
+		RequestBodyReader reader = new RequestBodyReader(exchange, limits, scheduler, callback);
 		StreamSourceChannel channel = exchange.getRequestChannel();
 		channel.getReadSetter().set((ChannelListener<StreamSourceChannel>) reader::readAvailable);
 		reader.readAvailable(channel);
@@ -65,38 +64,68 @@
 		}
 		try (PooledByteBuffer pooled = this.exchange.getConnection().getByteBufferPool().allocate()) {
 			ByteBuffer buffer = pooled.getBuffer();
-			while (true) {
+			int batchBytes = 0;
+			while (batchBytes < READ_BATCH_BYTES) {
 				buffer.clear();
 				int count = channel.read(buffer);
 				if (count == 0) {
-					channel.resumeReads();
-					return;
+					break;
 				}
 				if (count < 0) {
-					break;
+					channel.suspendReads();
+					end(new RequestBody.Complete(this.body.toByteArray()));
+					return;
 				}
+				batchBytes += count;
 				buffer.flip();
-				appendWithinLimit(buffer);
+				if (!append(channel, buffer)) {
+					return;
+				}
 			}
+			channel.resumeReads();
 		}
 		catch (IOException ex) {
-			this.ended = true;
-			this.onFailure.run();
+			end(new RequestBody.ConnectionFailed(String.valueOf(ex.getMessage())));
+		}
+	}
+
+	private boolean append(StreamSourceChannel channel, ByteBuffer part) {
+		if (this.body.size() + part.remaining() > this.limits.maximumBytes()) {
+			channel.suspendReads();
+			end(new RequestBody.TooLarge());
+			return false;
+		}
+		if (!this.limits.memory().tryReserve(part.remaining())) {
+			channel.suspendReads();
+			end(new RequestBody.MemoryExhausted());
+			return false;
+		}
+		byte[] bytes = new byte[part.remaining()];
+		part.get(bytes);
+		this.body.writeBytes(bytes);
+		return true;
+	}
+
+	private void end(RequestBody result) {
+		if (this.ended) {
 			return;
 		}
 		this.ended = true;
-		channel.suspendReads();
-		this.onComplete
-			.accept((this.receivedBytes > this.maximumBytes) ? Optional.empty() : Optional.of(this.body.toByteArray()));
+		this.timer.cancel();
+		if (!(result instanceof RequestBody.Complete)) {
+			this.limits.memory().release(this.body.size());
+		}
+		this.callback.accept(result);
 	}
 
-	private void appendWithinLimit(ByteBuffer part) {
-		this.receivedBytes += part.remaining();
-		if (this.receivedBytes <= this.maximumBytes) {
-			byte[] bytes = new byte[part.remaining()];
-			part.get(bytes);
-			this.body.writeBytes(bytes);
-		}
+	/**
+	 * Limits of a body.
+	 *
+	 * @param maximumBytes maximum size in bytes
+	 * @param timeoutMillis maximum time until its end is received, in milliseconds
+	 * @param memory limit of the bytes that all bodies may occupy
+	 */
+	record Limits(long maximumBytes, long timeoutMillis, BufferedBytes memory) {
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -1,16 +1,17 @@
 package org.skylarkspring.gateway.internal;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.http.DeliveryStatus;
 import org.skylarkspring.gateway.http.HttpClientCall;
-import org.skylarkspring.gateway.model.DispatchHead;
 import org.skylarkspring.gateway.model.GenerationResumePoint;
+import org.skylarkspring.gateway.policy.AttemptTimeouts;
+import org.skylarkspring.gateway.policy.ResponseTimeEstimator;
 import org.skylarkspring.gateway.policy.RetryDecision;
 
 /**
@@ -19,20 +20,6 @@
  */
 final class RequestDispatcher {
 
-	/**
-	 * Engine priority of the most urgent route. Lower values are more urgent and are
-	 * reserved.
-	 */
-	private static final int HIGHEST_ENGINE_PRIORITY = 4;
-
-	private static final int LOWEST_ENGINE_PRIORITY = 9;
-
-	/**
-	 * Response timeout of an attempt as a multiple of the target latency of the route.
-	 * After it, a retryable request is sent to another server.
-	 */
-	private static final int RESPONSE_TIMEOUT_LATENCY_FACTOR = 2;
-
 	private static final int LOWEST_SERVER_ERROR_STATUS = 500;
 
 	private final GatewayContext context;
@@ -49,13 +36,14 @@
 
 	private final StreamRelay streamRelay;
 
+	private final AttemptSender attemptSender;
+
+	private final Map<String, ResponseTimeEstimator> responseTimesByService = new HashMap<>();
+
 	private GenerationMigrator migrator;
 
 	private Consumer<Runnable> peerLoadRefresher = Runnable::run;
 
-	private Runnable onGenerationDispatched = () -> {
-	};
-
 	RequestDispatcher(GatewayContext context, ConfigurationPoller configuration, ServerSelector serverSelector,
 			RetryBudgets retryBudgets, DataCentreReachabilityTracker reachability,
 			ActiveRequestRegistry activeRequests) {
@@ -66,6 +54,7 @@
 		this.reachability = reachability;
 		this.activeRequests = activeRequests;
 		this.streamRelay = new StreamRelay(context, activeRequests);
+		this.attemptSender = new AttemptSender(context, serverSelector);
 	}
 
 	void setMigrator(GenerationMigrator migrator) {
@@ -84,7 +73,7 @@
 	 */
 	void setPeerLoadCallbacks(Consumer<Runnable> refresher, Runnable onDispatched) {
 		this.peerLoadRefresher = refresher;
-		this.onGenerationDispatched = onDispatched;
+		this.attemptSender.setDispatchListener(onDispatched);
 	}
 
 	/**
@@ -102,7 +91,7 @@
 		request.disconnectDetector = CallerDisconnectDetector.start(request.exchange,
 				() -> this.activeRequests.onCallerDisconnected(request));
 		request.deadlineTimer = this.context.scheduler.schedule(
-				request.deadlineMillis - this.context.scheduler.nowMillis(),
+				AttemptTimeouts.finalResponseMillis(request.deadlineMillis - this.context.scheduler.nowMillis()),
 				() -> this.activeRequests.onDeadlineExceeded(request));
 		if (request.reservedTokens > 0) {
 			this.peerLoadRefresher.accept(() -> dispatchUnlessFinished(request));
@@ -144,40 +133,43 @@
 	 * @param resumePoint point from which the generation resumes, empty for a new one
 	 */
 	void send(ActiveRequest request, ServerEntry entry, Optional<GenerationResumePoint> resumePoint) {
-		Optional<String> resumeAfter = (resumePoint.isEmpty() && request.eventOrder.lastDeliveredId().isPresent())
-				? request.eventOrder.lastDeliveredId() : Optional.empty();
-		long remaining = Math.max(1, request.deadlineMillis - this.context.scheduler.nowMillis());
-		DispatchHead head = new DispatchHead(entry.registration.id(), remaining, request.workspace,
-				enginePriority(request), resumePoint, resumeAfter);
-		ServerAttempt attempt = new ServerAttempt(this.context, this, request, entry, head);
+		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, resumePoint);
 		request.attempt = attempt;
-		request.sendCount++;
-		request.triedServers.add(entry.registration.id());
-		entry.attempts.add(attempt);
-		entry.reservedTokens += request.reservedTokens;
-		attempt.pendingPrefillTokens = resumePoint.isPresent() ? 0 : request.promptTokens();
-		entry.pendingPrefillTokens += attempt.pendingPrefillTokens;
-		if (request.reservedTokens > 0) {
-			this.onGenerationDispatched.run();
-		}
-		this.context.log.logRoutineRequest(this.context.scheduler.nowMillis(), request.id(), "sent",
-				Map.of("server", entry.registration.id(), "route", request.route.name(), "send", request.sendCount,
-						"continued", resumePoint.isPresent(), "promised-tokens", entry.reservedTokens, "running",
-						entry.attempts.size() + entry.peerRunningRequests));
-		if (request.route.semantics().isRetryable()
-				&& request.possibleExecutions + 1 < request.route.maximumAttempts()) {
-			attempt.responseTimer = this.context.scheduler.schedule(
-					RESPONSE_TIMEOUT_LATENCY_FACTOR * request.route.targetLatencyMillis(),
-					() -> onResponseTimeout(attempt));
-		}
-		attempt.start();
+		startResponseTimer(attempt);
+		this.attemptSender.start(attempt);
 	}
 
-	private OptionalInt enginePriority(ActiveRequest request) {
-		if (request.service.engine().isEmpty()) {
-			return OptionalInt.empty();
+	/**
+	 * Sends a generation to the server that is about to continue it, while its current
+	 * attempt still runs.
+	 * @param request the request
+	 * @param entry the server
+	 * @param resumePoint point from which the generation resumes
+	 * @return the attempt, whose outcome the migrator receives
+	 */
+	ServerAttempt sendSuccessor(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint) {
+		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, Optional.of(resumePoint));
+		request.successor = attempt;
+		this.attemptSender.start(attempt);
+		return attempt;
+	}
+
+	private void startResponseTimer(ServerAttempt attempt) {
+		ActiveRequest request = attempt.activeRequest;
+		if (!request.route.semantics().isRetryable()
+				|| request.possibleExecutions + 1 >= request.route.maximumAttempts()) {
+			return;
 		}
-		return OptionalInt.of(Math.min(LOWEST_ENGINE_PRIORITY, HIGHEST_ENGINE_PRIORITY + request.priority));
+		double usualMillis = request.route.semantics().isStreaming() ? Double.MAX_VALUE
+				: responseTimes(request).usualMillis();
+		attempt.responseTimer = this.context.scheduler
+			.schedule(AttemptTimeouts.responseTimeoutMillis(request.route.targetLatencyMillis(), usualMillis,
+					attempt.dispatchHead.remainingMillis()), () -> onResponseTimeout(attempt));
+	}
+
+	private ResponseTimeEstimator responseTimes(ActiveRequest request) {
+		return this.responseTimesByService.computeIfAbsent(request.service.name(),
+				(service) -> new ResponseTimeEstimator());
 	}
 
 	/**
@@ -211,16 +203,25 @@
 
 	private void onResponseTimeout(ServerAttempt attempt) {
 		ActiveRequest request = attempt.activeRequest;
-		boolean awaitingResponse = attempt.activeRequest.attempt == attempt && !attempt.hasResponse();
+		boolean awaitingResponse = attempt.activeRequest.attempt == attempt && !request.isCommitted();
 		if (awaitingResponse && this.retryBudgets.tryAcquireRetry(request.service.name())) {
-			attempt.cancel();
-			this.activeRequests.detachAttempt(attempt);
-			attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
-			this.activeRequests.logAttemptDecision(request, "server silent, repeated elsewhere", attempt, "");
+			this.activeRequests.cancelAttempt(attempt);
+			attempt.server.recordResponseTimeout(this.context.scheduler.nowMillis());
+			this.activeRequests.logAttemptDecision(request, "response timeout, retrying on another server", attempt,
+					"no complete response within " + (this.context.scheduler.nowMillis() - attempt.startedMillis)
+							+ " ms");
 			dispatch(request);
 		}
 	}
 
+	/**
+	 * Handles the first event of a server that continues a generation.
+	 * @param successor the attempt on that server
+	 */
+	void onSuccessorEvent(ServerAttempt successor) {
+		this.migrator.onSuccessorStarted(successor);
+	}
+
 	/**
 	 * Handles a complete response that is not a stream.
 	 * @param attempt the attempt that received the response
@@ -230,7 +231,7 @@
 		this.activeRequests.detachAttempt(attempt);
 		int status = attempt.response().getResponseCode();
 		if (status >= LOWEST_SERVER_ERROR_STATUS) {
-			attempt.server.recordServerError();
+			attempt.server.recordServerError(this.context.scheduler.nowMillis());
 			if (!request.isCommitted() && tryAcquireRetry(request)) {
 				this.activeRequests.logAttemptDecision(request, "server error, repeated elsewhere", attempt,
 						String.valueOf(status));
@@ -239,7 +240,8 @@
 			}
 		}
 		else {
-			attempt.server.recordSuccess();
+			attempt.server.recordSuccess(this.context.scheduler.nowMillis());
+			responseTimes(request).record(this.context.scheduler.nowMillis() - attempt.startedMillis);
 		}
 		long latencyMillis = this.context.scheduler.nowMillis() - request.arrivedMillis;
 		this.context.metrics.recordLatency(request.route.name(), latencyMillis);
@@ -262,9 +264,14 @@
 	 */
 	void onNotExecuted(ServerAttempt attempt, int status) {
 		ActiveRequest request = attempt.activeRequest;
+		boolean successor = attempt.isSuccessor();
 		this.activeRequests.detachAttempt(attempt);
 		request.possibleExecutions--;
 		this.activeRequests.logAttemptDecision(request, "server refused", attempt, String.valueOf(status));
+		if (successor) {
+			this.migrator.onSuccessorFailed(attempt);
+			return;
+		}
 		if (!this.migrator.endIfResumeRejected(attempt)) {
 			retryOrEnd(request, "server refused", () -> this.retryBudgets.tryAcquireRetry(request.service.name()));
 		}
@@ -278,18 +285,23 @@
 	 */
 	void onAttemptFailed(ServerAttempt attempt, DeliveryStatus deliveryStatus, String reason) {
 		ActiveRequest request = attempt.activeRequest;
+		boolean successor = attempt.isSuccessor();
 		this.activeRequests.detachAttempt(attempt);
 		attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
 		if (request.finished) {
 			return;
 		}
-		this.activeRequests.logAttemptDecision(request, "attempt broke", attempt, deliveryStatus + ": " + reason);
+		this.activeRequests.logAttemptDecision(request, "attempt failed", attempt, deliveryStatus + ": " + reason);
 		boolean notSent = deliveryStatus == DeliveryStatus.NOT_SENT;
 		if (notSent && reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON)) {
 			this.reachability.recordConnectTimeout(attempt.server.registration.dataCentre(),
 					this.context.scheduler.nowMillis());
 		}
-		if (this.migrator.takeOverEndedSource(attempt)) {
+		if (successor) {
+			this.migrator.onSuccessorFailed(attempt);
+			return;
+		}
+		if (this.migrator.takeOverFailedSource(attempt)) {
 			return;
 		}
 		if (request.possibleExecutions == 0 && request.isAuthenticated() && !isKeyValid(request)) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -13,6 +14,7 @@
 import org.skylarkspring.gateway.http.HttpClientCall;
 import org.skylarkspring.gateway.model.DispatchHead;
 import org.skylarkspring.gateway.model.ResponseHead;
+import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.EventSequenceTracker;
 import org.skylarkspring.gateway.policy.SseEvent;
 import org.skylarkspring.gateway.policy.SseEventSplitter;
@@ -26,14 +28,14 @@
 	 * Responses up to this size are relayed only after they have been received
 	 * completely.
 	 */
-	private static final int MAXIMUM_BUFFERED_BYTES = 256 * 1024;
-
-	private static final long CONNECT_TIMEOUT_MILLIS = 250;
+	private static final int MAXIMUM_BUFFERED_BYTES = 64 * 1024;
 
 	private static final int OK = 200;
 
 	private static final int MISDIRECTED_REQUEST = 421;
 
+	private static final int LOWEST_ERROR_STATUS = 400;
+
 	final ActiveRequest activeRequest;
 
 	final ServerEntry server;
@@ -52,6 +54,12 @@
 	/** Prompt tokens for which the server may not have completed the prefill yet. */
 	long pendingPrefillTokens;
 
+	/**
+	 * Server that receives a backup of the KV cache while the generation runs,
+	 * {@code null} for none.
+	 */
+	final ServerEntry backup;
+
 	private final GatewayContext context;
 
 	private final RequestDispatcher dispatcher;
@@ -69,14 +77,15 @@
 	private boolean detached;
 
 	ServerAttempt(GatewayContext context, RequestDispatcher dispatcher, ActiveRequest activeRequest, ServerEntry server,
-			DispatchHead dispatchHead) {
+			DispatchHead dispatchHead, Optional<ServerEntry> backup) {
 		this.context = context;
 		this.dispatcher = dispatcher;
 		this.activeRequest = activeRequest;
 		this.server = server;
 		this.dispatchHead = dispatchHead;
+		this.backup = backup.orElse(null);
 		this.startedMillis = context.scheduler.nowMillis();
-		this.httpCall = new HttpClientCall(context.ioThread, context.buffers, this);
+		this.httpCall = new HttpClientCall(context.connector, this);
 	}
 
 	void start() {
@@ -89,8 +98,8 @@
 			headers.put(Headers.CONTENT_LENGTH, this.activeRequest.body.length);
 		}
 		this.context.serverProtocol.encodeRequestHeaders(this.dispatchHead, headers);
-		this.httpCall.start(this.server.registration.address(), request, this.activeRequest.body,
-				CONNECT_TIMEOUT_MILLIS);
+		this.httpCall.start(this.server.registration.address(), request, this.activeRequest.body, AttemptTimeouts
+			.connectTimeoutMillis(this.activeRequest.route.targetLatencyMillis(), this.dispatchHead.remainingMillis()));
 	}
 
 	void cancel() {
@@ -109,6 +118,17 @@
 		this.pendingPrefillTokens = 0;
 	}
 
+	/** Releases the memory reserved for the backup of the KV cache. */
+	void releaseBackupReservation() {
+		if (this.backup != null) {
+			this.backup.reservedTokens -= this.activeRequest.reservedTokens;
+		}
+	}
+
+	boolean isSuccessor() {
+		return this.activeRequest.successor == this;
+	}
+
 	boolean hasResponse() {
 		return this.response != null;
 	}
@@ -153,6 +173,11 @@
 			// The caller has received part of a stream, which only a stream can complete.
 			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
 					"status " + status + " while resuming a stream that the caller has partly received"));
+			return;
+		}
+		if (isSuccessor() && !this.streaming) {
+			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
+					"status " + status + " while resuming a generation"));
 		}
 	}
 
@@ -185,6 +210,9 @@
 	}
 
 	private boolean onEvent(SseEvent event) {
+		if (isSuccessor()) {
+			this.dispatcher.onSuccessorEvent(this);
+		}
 		EventSequenceTracker.Disposition disposition = this.activeRequest.eventOrder.classify(event);
 		if (disposition == EventSequenceTracker.Disposition.GAP) {
 			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
@@ -204,6 +232,12 @@
 			return this.activeRequest.responseWriter.write(part);
 		}
 		this.bufferedBody.writeBytes(part);
+		if (this.bufferedBody.size() > MAXIMUM_BUFFERED_BYTES
+				&& this.response.getResponseCode() >= LOWEST_ERROR_STATUS) {
+			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
+					"error response exceeds the maximum of " + MAXIMUM_BUFFERED_BYTES + " bytes"));
+			return true;
+		}
 		if (this.bufferedBody.size() > MAXIMUM_BUFFERED_BYTES) {
 			this.activeRequest.responseWriter.startResponse(this.response.getResponseCode(), responseHeaders());
 			return this.activeRequest.responseWriter.write(this.bufferedBody.toByteArray());
@@ -219,6 +253,9 @@
 		cancelResponseTimer();
 		this.detached = true;
 		byte[] trailingBytes = this.splitter.incompleteEventBytes();
+		if (isSuccessor()) {
+			this.dispatcher.onSuccessorEvent(this);
+		}
 		if (this.streaming) {
 			this.dispatcher.streamRelay().completeStream(this, trailingBytes);
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerDrainProbe.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerDrainProbe.java
@@ -35,6 +35,7 @@
 	}
 
 	private void tick() {
+		this.context.scheduler.schedule(PROBE_INTERVAL_MILLIS, this::tick);
 		long configurationAgeMillis = this.configuration.ageMillis();
 		if (configurationAgeMillis < 0 || configurationAgeMillis > STALE_CONFIGURATION_MILLIS) {
 			this.servers.all()
@@ -42,7 +43,6 @@
 				.filter((entry) -> !entry.terminating && hasActiveStream(entry))
 				.forEach(this::probe);
 		}
-		this.context.scheduler.schedule(PROBE_INTERVAL_MILLIS, this::tick);
 	}
 
 	private static boolean hasActiveStream(ServerEntry entry) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
@@ -15,6 +15,11 @@
 	/** Weight of the latest outcome in the moving average of the failure rate. */
 	private static final double FAILURE_EWMA_WEIGHT = 0.1;
 
+	/** Time without requests in which the failure rate halves. */
+	private static final long FAILURE_HALF_LIFE_MILLIS = 3_000;
+
+	private static final int TIMEOUTS_BEFORE_EJECTION = 2;
+
 	private static final long BASE_EJECTION_MILLIS = 500;
 
 	private static final long MAXIMUM_EJECTION_MILLIS = 4_000;
@@ -53,10 +58,14 @@
 
 	long peerReservedTokens;
 
-	double failureRate;
+	private double failureRate;
+
+	private long lastOutcomeMillis;
 
 	private int consecutiveFailures;
 
+	private int consecutiveTimeouts;
+
 	private long ejectedUntilMillis;
 
 	ServerEntry(ServerRegistration registration, long nowMillis) {
@@ -80,15 +89,55 @@
 		return nowMillis < this.ejectedUntilMillis;
 	}
 
-	void recordSuccess() {
+	/**
+	 * Records a complete response.
+	 * @param nowMillis current time in milliseconds
+	 */
+	void recordSuccess(long nowMillis) {
 		this.consecutiveFailures = 0;
+		this.consecutiveTimeouts = 0;
 		this.ejectedUntilMillis = 0;
-		this.failureRate -= FAILURE_EWMA_WEIGHT * this.failureRate;
+		recordOutcome(0, nowMillis);
+	}
+
+	/**
+	 * Records that the server responded with a server error.
+	 * @param nowMillis current time in milliseconds
+	 */
+	void recordServerError(long nowMillis) {
+		recordOutcome(1, nowMillis);
+	}
+
+	private void recordOutcome(double failure, long nowMillis) {
+		double current = failureRate(nowMillis);
+		this.failureRate = current + FAILURE_EWMA_WEIGHT * (failure - current);
+		this.lastOutcomeMillis = nowMillis;
 	}
 
-	/** Records that the server responded with a server error. */
-	void recordServerError() {
-		this.failureRate += FAILURE_EWMA_WEIGHT * (1 - this.failureRate);
+	/**
+	 * Returns the moving average of the share of requests that failed. It decays while
+	 * the server gets no requests, so that the server is tried again.
+	 * @param nowMillis current time in milliseconds
+	 * @return the share, 0 to 1
+	 */
+	double failureRate(long nowMillis) {
+		double halfLives = (double) (nowMillis - this.lastOutcomeMillis) / FAILURE_HALF_LIFE_MILLIS;
+		return this.failureRate * Math.pow(0.5, halfLives);
+	}
+
+	/**
+	 * Records that the server did not respond in time. A single timeout may be due to a
+	 * long request; the server is ejected when another one follows without a success.
+	 * @param nowMillis current time in milliseconds
+	 */
+	void recordResponseTimeout(long nowMillis) {
+		this.consecutiveTimeouts++;
+		if (this.consecutiveTimeouts >= TIMEOUTS_BEFORE_EJECTION) {
+			recordConnectionFailure(nowMillis);
+		}
+		else {
+			recordServerError(nowMillis);
+		}
 	}
 
 	/**
@@ -97,7 +146,7 @@
 	 * @param nowMillis current time in milliseconds
 	 */
 	void recordConnectionFailure(long nowMillis) {
-		recordServerError();
+		recordServerError(nowMillis);
 		long ejectionMillis = BASE_EJECTION_MILLIS << Math.min(MAXIMUM_EJECTION_DOUBLINGS, this.consecutiveFailures);
 		this.consecutiveFailures++;
 		this.ejectedUntilMillis = nowMillis + Math.min(MAXIMUM_EJECTION_MILLIS, ejectionMillis);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -29,6 +29,9 @@
 	 */
 	private static final double CROSS_DATA_CENTRE_COST = 0.35;
 
+	/** Share of a server's KV cache up to which it receives backups. */
+	private static final double MAXIMUM_BACKUP_UTILIZATION = 0.5;
+
 	/** Upper bound of the random part of the cost, about the load of one generation. */
 	private static final double TARGET_COST_JITTER = 0.15;
 
@@ -95,6 +98,38 @@
 			.findFirst();
 	}
 
+	/**
+	 * Selects a server for the backup of a generation. Backups use only memory that is
+	 * free on a server with a moderate load, so that they do not displace requests.
+	 * @param service service of the generation
+	 * @param tokens amount of KV cache memory that the generation needs, in tokens
+	 * @param source server that runs the generation
+	 * @return the server, empty if none is eligible
+	 */
+	Optional<ServerEntry> selectBackup(ServiceSpec service, long tokens, ServerEntry source) {
+		long now = this.context.scheduler.nowMillis();
+		long capacity = service.engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
+		return eligibleServers(service, (entry) -> entry != source)
+			.filter((entry) -> !entry.isEjected(now) && now >= entry.coldUntilMillis)
+			.filter((entry) -> entry.reservedTokens + entry.peerReservedTokens + tokens <= MAXIMUM_BACKUP_UTILIZATION
+					* capacity)
+			.map((entry) -> new RankedServer(entry, migrationTargetCost(service, entry, tokens, source, now)))
+			.min(Comparator.comparingDouble(RankedServer::cost))
+			.map(RankedServer::server);
+	}
+
+	/**
+	 * Returns whether a server that was selected earlier may still receive a generation.
+	 * @param entry the server
+	 * @return {@code false} if it terminates, has restarted, failed recently or is
+	 * evacuated
+	 */
+	boolean isUsable(ServerEntry entry) {
+		return this.serverTable.find(entry.registration.id()).filter((current) -> current == entry).isPresent()
+				&& entry.acceptsRequests() && !entry.isEjected(this.context.scheduler.nowMillis())
+				&& !isEvacuated(entry.registration.dataCentre());
+	}
+
 	// Many instances select targets at the same moment from the same data; the random
 	// part keeps them from all selecting the same server.
 	private double migrationTargetCost(ServiceSpec service, ServerEntry entry, long tokens, ServerEntry source,
@@ -139,7 +174,7 @@
 				entry.registration.dataCentre().equals(this.context.settings.dataCentre()),
 				entry.attempts.size() + entry.peerRunningRequests, entry.registration.slots(),
 				entry.reservedTokens + entry.peerReservedTokens,
-				entry.pendingPrefillTokens + entry.peerPendingPrefillTokens, memory, entry.failureRate,
+				entry.pendingPrefillTokens + entry.peerPendingPrefillTokens, memory, entry.failureRate(now),
 				entry.isEjected(now), this.reachability.isUnreachable(entry.registration.dataCentre(), now));
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelayHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelayHandler.java
@@ -1,6 +1,5 @@
 package org.skylarkspring.gateway.internal;
 
-import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -11,8 +10,6 @@
 import com.google.gson.JsonSyntaxException;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import io.undertow.util.SameThreadExecutor;
-import org.xnio.IoUtils;
 
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.StoreResult;
@@ -25,8 +22,6 @@
 
 	static final String PATH = "/peer-store";
 
-	private static final int MAXIMUM_REQUEST_BYTES = 4 * 1024;
-
 	private static final int BAD_REQUEST = 400;
 
 	private final Gson gson = new Gson();
@@ -35,6 +30,8 @@
 
 	private final DecisionLog log;
 
+	private final PeerRequestBodies bodies;
+
 	private final String incarnation;
 
 	private final Map<ObjectKind, WatchCache> caches = new EnumMap<>(ObjectKind.class);
@@ -47,6 +44,7 @@
 			Consumer<PeerLoadReport> reportConsumer) {
 		this.scheduler = scheduler;
 		this.log = log;
+		this.bodies = new PeerRequestBodies(scheduler, log);
 		this.incarnation = instanceId + "@" + scheduler.epochMillis();
 		this.configurationPoller = configurationPoller;
 		this.reportConsumer = reportConsumer;
@@ -63,12 +61,11 @@
 	}
 
 	void handleRequest(HttpServerExchange exchange) {
-		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> RequestBodyReader.read(exchange, MAXIMUM_REQUEST_BYTES,
-				(body) -> respond(exchange, body), () -> IoUtils.safeClose(exchange.getConnection())));
+		this.bodies.read(exchange, (json) -> respond(exchange, json));
 	}
 
-	private void respond(HttpServerExchange exchange, Optional<byte[]> body) {
-		Optional<RelayRequest> request = body.flatMap((bytes) -> parse(new String(bytes, StandardCharsets.UTF_8)));
+	private void respond(HttpServerExchange exchange, String json) {
+		Optional<RelayRequest> request = parse(json);
 		if (request.isEmpty()) {
 			exchange.setStatusCode(BAD_REQUEST);
 			exchange.endExchange();
@@ -102,10 +99,10 @@
 		long receivedMillis = this.scheduler.nowMillis();
 		request.told().forEach(this.reportConsumer);
 		Consumer<StoreResult> result = (outcome) -> callback
-			.accept(toResponse(outcome, this.scheduler.nowMillis() - receivedMillis));
+			.accept(toResponse(request, outcome, this.scheduler.nowMillis() - receivedMillis));
 		switch (request.verb()) {
 			case READ -> readConfiguration(request, result);
-			case LIST -> result.accept(cacheFor(request.kind()).list());
+			case LIST -> cacheFor(request.kind()).list(result);
 			case WATCH -> watch(request, result);
 		}
 	}
@@ -136,7 +133,11 @@
 		}
 	}
 
-	private RelayResponse toResponse(StoreResult result, long heldMillis) {
+	private RelayResponse toResponse(RelayRequest request, StoreResult result, long heldMillis) {
+		if (result instanceof StoreResult.Listed listed && request.allowsUnchanged(listed.revision())) {
+			return new RelayResponse(this.incarnation, RelayResponse.Outcome.UNCHANGED, List.of(), listed.revision(),
+					heldMillis, listed.ageMillis());
+		}
 		if (result instanceof StoreResult.Listed listed) {
 			return new RelayResponse(this.incarnation, RelayResponse.Outcome.LISTED,
 					listed.objects().stream().map((object) -> RelayResponse.RelayedObject.of(object, false)).toList(),
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
@@ -60,7 +60,7 @@
 	void completeStream(ServerAttempt attempt, byte[] trailingBytes) {
 		ActiveRequest request = attempt.activeRequest;
 		this.activeRequests.detachAttempt(attempt);
-		attempt.server.recordSuccess();
+		attempt.server.recordSuccess(this.context.scheduler.nowMillis());
 		if (!request.isCommitted()) {
 			request.responseWriter.startResponse(attempt.response().getResponseCode(), attempt.responseHeaders());
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/WatchCache.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/WatchCache.java
@@ -6,8 +6,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.skylarkspring.gateway.model.ObjectChange;
 import org.skylarkspring.gateway.model.StoreResult;
@@ -29,6 +31,15 @@
 	/** Watchers that have missed more changes must list again. */
 	private static final int MAXIMUM_RETAINED_CHANGES = 512;
 
+	/**
+	 * Time for which the cache stays valid after a call to the store has failed. Usually
+	 * only the connection of a watch was cut, and a list that follows at once succeeds.
+	 */
+	static final long UNREACHABLE_GRACE_MILLIS = 200;
+
+	/** Time for which a list request waits until the store is reachable. */
+	static final long LIST_HOLD_MILLIS = 300;
+
 	private final Scheduler scheduler;
 
 	private final Map<String, StoredObject> objects = new LinkedHashMap<>();
@@ -37,6 +48,11 @@
 
 	private final List<PendingWatch> pendingWatches = new ArrayList<>();
 
+	private final List<Consumer<StoreResult>> pendingLists = new ArrayList<>();
+
+	/** Timer that ends the grace time, {@code null} while the store is reachable. */
+	private Scheduler.Timer graceTimer;
+
 	private long revision;
 
 	private boolean synced;
@@ -57,7 +73,7 @@
 
 			@Override
 			public void onListed(List<StoredObject> all, boolean afterOutage) {
-				WatchCache.this.replaceAll(all);
+				WatchCache.this.onListed(all, afterOutage);
 				next.onListed(all, afterOutage);
 			}
 
@@ -69,13 +85,51 @@
 
 			@Override
 			public void onStoreUnreachable() {
-				WatchCache.this.markUnsynced();
+				WatchCache.this.startGrace();
 				next.onStoreUnreachable();
 			}
 
 		};
 	}
 
+	private void onListed(List<StoredObject> all, boolean afterOutage) {
+		if (this.graceTimer != null) {
+			this.graceTimer.cancel();
+			this.graceTimer = null;
+		}
+		// After an outage the others must know that entries may be missing for that
+		// reason, which they learn by listing themselves.
+		if (this.synced && !afterOutage) {
+			applyDifferences(all);
+		}
+		else {
+			replaceAll(all);
+		}
+		List<Consumer<StoreResult>> lists = List.copyOf(this.pendingLists);
+		this.pendingLists.clear();
+		lists.forEach((callback) -> callback.accept(listed()));
+	}
+
+	private void applyDifferences(List<StoredObject> all) {
+		Set<String> names = all.stream().map(StoredObject::name).collect(Collectors.toSet());
+		List.copyOf(this.objects.values())
+			.stream()
+			.filter((object) -> !names.contains(object.name()))
+			.forEach((object) -> applyChange(new ObjectChange(object, true)));
+		all.stream().filter(this::isNewOrChanged).forEach((object) -> applyChange(new ObjectChange(object, false)));
+	}
+
+	private boolean isNewOrChanged(StoredObject object) {
+		StoredObject cached = this.objects.get(object.name());
+		return cached == null || cached.revision() != object.revision();
+	}
+
+	private void startGrace() {
+		if (this.graceTimer == null) {
+			this.graceTimer = this.scheduler.schedule(UNREACHABLE_GRACE_MILLIS, this::markUnsynced);
+		}
+	}
+
 	private void replaceAll(List<StoredObject> all) {
 		this.objects.clear();
 		all.forEach((object) -> this.objects.put(object.name(), object));
@@ -112,13 +166,25 @@
 	}
 
 	/**
-	 * Returns all objects.
-	 * @return {@code Listed}, or {@code Failed} before the first list and while the store
-	 * cannot be reached
+	 * Lists all objects. Waits for a while if the store cannot be reached.
+	 * @param result receives {@code Listed}, or {@code Failed} if the store cannot be
+	 * reached
 	 */
-	StoreResult list() {
-		return this.synced ? new StoreResult.Listed(List.copyOf(this.objects.values()), this.revision, false)
-				: new StoreResult.Failed("store unreachable");
+	void list(Consumer<StoreResult> result) {
+		if (this.synced) {
+			result.accept(listed());
+			return;
+		}
+		this.pendingLists.add(result);
+		this.scheduler.schedule(LIST_HOLD_MILLIS, () -> {
+			if (this.pendingLists.remove(result)) {
+				result.accept(new StoreResult.Failed("store unreachable"));
+			}
+		});
+	}
+
+	private StoreResult listed() {
+		return new StoreResult.Listed(List.copyOf(this.objects.values()), this.revision, false);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/DispatchHead.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/DispatchHead.java
@@ -15,7 +15,10 @@
  * @param resumePoint point from which the generation resumes, empty for a new one
  * @param resumeAfterEventId id of the event after which a resumable stream resumes, empty
  * to start at the beginning
+ * @param backupAddress address of the server that receives a backup of the KV cache while
+ * the generation runs, empty for none
  */
 public record DispatchHead(String expectedServerId, long remainingMillis, Optional<String> workspace,
-		OptionalInt enginePriority, Optional<GenerationResumePoint> resumePoint, Optional<String> resumeAfterEventId) {
+		OptionalInt enginePriority, Optional<GenerationResumePoint> resumePoint, Optional<String> resumeAfterEventId,
+		Optional<String> backupAddress) {
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/SseEventSplitter.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/SseEventSplitter.java
@@ -13,7 +13,7 @@
 public final class SseEventSplitter {
 
 	/** Maximum size of an event, so that a faulty server cannot exhaust the memory. */
-	private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
+	static final int MAXIMUM_EVENT_BYTES = 64 * 1024;
 
 	private static final int INITIAL_BUFFER_BYTES = 1024;
 
@@ -21,6 +21,9 @@
 
 	private int bufferedBytes;
 
+	/** Number of buffered bytes that are known to contain no end of an event. */
+	private int scannedBytes;
+
 	/**
 	 * Appends bytes of the stream.
 	 * @param data the bytes, consumed unless the size limit is exceeded
@@ -52,7 +55,7 @@
 
 	private void emitCompleteEvents(Consumer<SseEvent> eventConsumer) {
 		int start = 0;
-		int position = 1;
+		int position = Math.max(1, this.scannedBytes);
 		while (position < this.bufferedBytes) {
 			if (isLineFeed(position) && (this.buffer[position - 1] == '\n' || isCrLfBlankLine(position, start))) {
 				byte[] bytes = Arrays.copyOfRange(this.buffer, start, position + 1);
@@ -64,6 +67,7 @@
 		}
 		System.arraycopy(this.buffer, start, this.buffer, 0, this.bufferedBytes - start);
 		this.bufferedBytes -= start;
+		this.scannedBytes = this.bufferedBytes;
 	}
 
 	private boolean isLineFeed(int position) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/port/ServerProtocol.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/port/ServerProtocol.java
@@ -32,11 +32,9 @@
 	 * Builds the call that copies the KV cache of a running generation.
 	 * @param requestId id of the request that is running
 	 * @param targetAddress address of the server that receives the copy
-	 * @param finalCopy whether this is the final copy, which also stops the generation at
-	 * the source server
 	 * @return the call
 	 */
-	HttpTextRequest buildMigrationRequest(String requestId, String targetAddress, boolean finalCopy);
+	HttpTextRequest buildMigrationRequest(String requestId, String targetAddress);
 
 	/**
 	 * Decodes the response to a call that copies the KV cache of a generation.
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ConfigurationPollerTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ConfigurationPollerTests.java
@@ -1,5 +1,6 @@
 package org.skylarkspring.gateway.internal;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import com.google.gson.JsonObject;
@@ -100,6 +101,26 @@
 	@Nested
 	class StoreChecks {
 
+		@Test
+		void checkInterruptedBySuspensionIsRepeated() {
+			List<String> events = new ArrayList<>();
+			ConfigurationPollerTests.this.poller.runAfterStoreCheck(() -> events.add("checked"));
+			ConfigurationPollerTests.this.store.pendingCalls.clear();
+			ConfigurationPollerTests.this.scheduler.advanceWallClockOnly(4_000);
+			ConfigurationPollerTests.this.poller.isFresh();
+			while (!ConfigurationPollerTests.this.store.pendingCalls.isEmpty()) {
+				ConfigurationPollerTests.this.store.completeNextCall(configurationWithVersion(7));
+			}
+			assertThat(events, is(List.of("checked")));
+		}
+
+		@Test
+		void configurationIsRecentForLessThanTheTimeToApplyVersions() {
+			assertThat(ConfigurationPollerTests.this.poller.isRecent(), is(true));
+			ConfigurationPollerTests.this.scheduler.advance(1_600);
+			assertThat(ConfigurationPollerTests.this.poller.isRecent(), is(false));
+		}
+
 		@Test
 		void storeChecksBetweenPollsDoNotAddPolls() {
 			for (int count = 0; count < 20; count++) {
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ObjectInformerTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ObjectInformerTests.java
@@ -28,6 +28,8 @@
 
 	private final List<String> events = new ArrayList<>();
 
+	private String unusableName = "";
+
 	private final ObjectInformer informer = new ObjectInformer(this.store, this.scheduler, new DecisionLog(),
 			ObjectKind.SERVERS, 4_000, new ObjectInformer.Listener() {
 
@@ -39,6 +41,9 @@
 
 				@Override
 				public void onChanged(ObjectChange change) {
+					if (change.object().name().equals(ObjectInformerTests.this.unusableName)) {
+						throw new NumberFormatException("unusable");
+					}
 					ObjectInformerTests.this.events
 						.add((change.deleted() ? "removed " : "put ") + change.object().name());
 				}
@@ -69,6 +74,23 @@
 
 	}
 
+	@Nested
+	class UnusableObjects {
+
+		@Test
+		void watchContinuesAfterAnObjectThatCannotBeApplied() {
+			ObjectInformerTests.this.unusableName = "odd";
+			ObjectInformerTests.this.informer.start();
+			ObjectInformerTests.this.store.completeNextCall(page(10, false, "a"));
+			ObjectInformerTests.this.store.completeNextCall(new StoreResult.Changed(
+					List.of(new ObjectChange(object("odd"), false), new ObjectChange(object("b"), false)), 15));
+			assertThat(ObjectInformerTests.this.events, contains("list a", "put b"));
+			ObjectInformerTests.this.scheduler.advance(30);
+			assertThat(ObjectInformerTests.this.store.onlyPendingCall().argument(), is("15"));
+		}
+
+	}
+
 	@Nested
 	class Watch {
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/RelayedObjectStoreTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/RelayedObjectStoreTests.java
@@ -24,6 +24,7 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
 
 /**
  * Tests {@link RelayedObjectStore}, {@link StoreRelayHandler} and {@link WatchCache}
@@ -62,6 +63,8 @@
 
 	private final List<StoreResult> results = new ArrayList<>();
 
+	private final List<RelayResponse> relayResponses = new ArrayList<>();
+
 	private String relayAddress;
 
 	private boolean relayReachable = true;
@@ -91,6 +94,7 @@
 		if (address.equals(this.relayAddress) && this.relayReachable) {
 			this.relayHandler.respond(request, (response) -> {
 				if (this.relayReachable) {
+					this.relayResponses.add(response);
 					callbackOnce.accept(Optional.of(response));
 				}
 			});
@@ -142,6 +146,31 @@
 					both(greaterThanOrEqualTo(9)).and(lessThanOrEqualTo(11)));
 		}
 
+		@Test
+		void relaySendsUnchangedConfigurationOnlyOnce() {
+			RelayedObjectStoreTests.this.poller.start();
+			for (int second = 0; second < 5; second++) {
+				RelayedObjectStoreTests.this.scheduler.advance(1_000);
+				RelayedObjectStoreTests.this.relayStore.completeNextCall(configurationWithVersion(7));
+			}
+			assertThat(RelayedObjectStoreTests.this.relayResponses.stream()
+				.map(RelayResponse::outcome)
+				.filter(RelayResponse.Outcome.LISTED::equals)
+				.toList(), hasSize(1));
+			assertThat(RelayedObjectStoreTests.this.poller.isFresh(), is(true));
+			assertThat(RelayedObjectStoreTests.this.poller.ageMillis(), lessThanOrEqualTo(1_000L));
+		}
+
+		@Test
+		void relaySendsConfigurationToInstancesOfEarlierVersions() {
+			List<RelayResponse> responses = new ArrayList<>();
+			RelayedObjectStoreTests.this.relayHandler.respond(
+					new RelayRequest(RelayRequest.Operation.READ, ObjectKind.CONFIGURATION, "", 7, 0), responses::add);
+			RelayedObjectStoreTests.this.scheduler.advance(1_000);
+			RelayedObjectStoreTests.this.relayStore.completeNextCall(configurationWithVersion(7));
+			assertThat(responses.get(0).outcome(), is(RelayResponse.Outcome.LISTED));
+		}
+
 		@Test
 		void keepsConfigurationAgeReportedByRelay() {
 			RelayedObjectStoreTests.this.scheduler.advance(900);
@@ -244,9 +273,89 @@
 		void reportsHistoryGoneWhenRelayLosesStore() {
 			watchServers();
 			cacheListener().onStoreUnreachable();
+			RelayedObjectStoreTests.this.scheduler.advance(WatchCache.UNREACHABLE_GRACE_MILLIS);
 			assertThat(lastResult(), instanceOf(StoreResult.HistoryGone.class));
 		}
 
+		@Test
+		void keepsWatchWhileRelayListsAgainAfterCutWatch() {
+			watchServers();
+			cacheListener().onStoreUnreachable();
+			RelayedObjectStoreTests.this.scheduler.advance(WatchCache.UNREACHABLE_GRACE_MILLIS / 2);
+			cacheListener().onListed(List.of(serverObject("s1"), serverObject("s2")), false);
+			RelayedObjectStoreTests.this.scheduler.advance(WatchCache.UNREACHABLE_GRACE_MILLIS);
+			assertThat(((StoreResult.Changed) lastResult()).changes()
+				.stream()
+				.map((change) -> change.object().name() + " " + change.deleted())
+				.toList(), is(List.of("s2 false")));
+		}
+
+		@Test
+		void reportsServersMissingAfterCutWatchAsDeleted() {
+			watchServers();
+			cacheListener().onListed(List.of(serverObject("s2")), false);
+			RelayedObjectStoreTests.this.scheduler.advance(30);
+			assertThat(((StoreResult.Changed) lastResult()).changes()
+				.stream()
+				.map((change) -> change.object().name() + " " + change.deleted())
+				.toList(), is(List.of("s1 true", "s2 false")));
+		}
+
+		@Test
+		void othersListThemselvesAfterOutageOfRelay() {
+			watchServers();
+			cacheListener().onListed(List.of(), true);
+			assertThat(lastResult(), instanceOf(StoreResult.HistoryGone.class));
+		}
+
+		@Test
+		void listWaitsForRelayToReachStoreAgain() {
+			cacheListener().onStoreUnreachable();
+			RelayedObjectStoreTests.this.scheduler.advance(WatchCache.UNREACHABLE_GRACE_MILLIS);
+			int before = RelayedObjectStoreTests.this.results.size();
+			RelayedObjectStoreTests.this.relayedStore.list(ObjectKind.SERVERS, "",
+					RelayedObjectStoreTests.this.results::add);
+			assertThat(RelayedObjectStoreTests.this.results, hasSize(before));
+			cacheListener().onListed(List.of(serverObject("s9")), true);
+			assertThat(((StoreResult.Listed) lastResult()).objects(), hasSize(1));
+			assertThat(RelayedObjectStoreTests.this.directStore.pendingCalls, empty());
+		}
+
+		@Test
+		void callsStoreRarelyWhileRelayCannotReachIt() {
+			cacheListener().onStoreUnreachable();
+			RelayedObjectStoreTests.this.scheduler.advance(WatchCache.UNREACHABLE_GRACE_MILLIS);
+			int calls = 0;
+			for (int attempt = 0; attempt < 20; attempt++) {
+				RelayedObjectStoreTests.this.relayedStore.list(ObjectKind.SERVERS, "",
+						RelayedObjectStoreTests.this.results::add);
+				RelayedObjectStoreTests.this.scheduler.advance(500);
+				while (!RelayedObjectStoreTests.this.directStore.pendingCalls.isEmpty()) {
+					calls++;
+					RelayedObjectStoreTests.this.directStore.completeNextCall(new StoreResult.Failed("down"));
+				}
+			}
+			// Ten seconds, at most one call in each.
+			assertThat(calls, both(greaterThanOrEqualTo(2)).and(lessThanOrEqualTo(10)));
+		}
+
+		@Test
+		void skipsRelayThatCannotReachStoreAlthoughThisInstanceCan() {
+			cacheListener().onStoreUnreachable();
+			RelayedObjectStoreTests.this.scheduler.advance(WatchCache.UNREACHABLE_GRACE_MILLIS);
+			for (int attempt = 0; RelayedObjectStoreTests.this.directStore.pendingCalls.isEmpty()
+					&& attempt < 20; attempt++) {
+				RelayedObjectStoreTests.this.relayedStore.list(ObjectKind.SERVERS, "",
+						RelayedObjectStoreTests.this.results::add);
+				RelayedObjectStoreTests.this.scheduler.advance(500);
+			}
+			RelayedObjectStoreTests.this.directStore.completeNextCall(new StoreResult.Listed(List.of(), 9, false));
+			assertThat(
+					RelayedObjectStoreTests.this.peers.assignedRelay(RelayedObjectStoreTests.this.scheduler.nowMillis())
+						.map((peer) -> peer.address),
+					is(not(Optional.of(RelayedObjectStoreTests.this.relayAddress))));
+		}
+
 		@Test
 		void reportsHistoryGoneWhenRelayReadTimesOut() {
 			RelayedObjectStoreTests.this.poller.start();
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/SseEventSplitterTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/SseEventSplitterTests.java
@@ -56,6 +56,18 @@
 			assertThat(SseEventSplitterTests.this.splitter.incompleteEventBytes().length, is(0));
 		}
 
+		@Test
+		void findsEventEndAcrossPartsInAnyPosition() {
+			String text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+			for (int cut = 1; cut < text.length(); cut++) {
+				SseEventSplitterTests.this.events.clear();
+				acceptText(text.substring(0, cut));
+				acceptText(text.substring(cut));
+				assertThat("cut at " + cut, SseEventSplitterTests.this.events,
+						contains("id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\ndata: c\n\n"));
+			}
+		}
+
 		@Test
 		void splitsEventsWithCrLfLineEndings() {
 			acceptText("id: 1\r\ndata: a\r\n\r\nid: 2\r\n");
