--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -98,7 +98,7 @@
 	private Optional<ServerEntry> usableBackup(ServerAttempt attempt) {
 		return Optional.ofNullable(attempt.backup)
 			.filter((backup) -> attempt.relayedEvents > 0)
-			.filter(this.serverSelector::isUsable);
+			.filter((backup) -> this.serverSelector.tryUseSelected(attempt.activeRequest.service, backup));
 	}
 
 	private static GenerationResumePoint backupResumePoint(ActiveRequest request, ServerEntry backup) {
@@ -165,10 +165,18 @@
 		migration.releaseReservation();
 		migration.target = target;
 		migration.stage = GenerationMigration.Stage.RESUMING;
-		ServerAttempt successor = this.dispatcher.sendSuccessor(request, target, resumePoint);
+		this.dispatcher.sendSuccessor(request, target, resumePoint);
+	}
+
+	/**
+	 * Limits the time for which source and target may both run the generation, starting
+	 * when the request is sent to the target.
+	 * @param successor the attempt on the target
+	 */
+	void onSuccessorSent(ServerAttempt successor) {
 		this.context.scheduler.schedule(MAXIMUM_OVERLAP_MILLIS, () -> {
-			if (successor.isSuccessor() && !request.finished) {
-				replaceSource(request, "overlap limit reached");
+			if (successor.isSuccessor() && !successor.activeRequest.finished) {
+				replaceSource(successor.activeRequest, "overlap limit reached");
 			}
 		});
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -145,13 +145,11 @@
 	 * @param request the request
 	 * @param entry the server
 	 * @param resumePoint point from which the generation resumes
-	 * @return the attempt, whose outcome the migrator receives
 	 */
-	ServerAttempt sendSuccessor(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint) {
+	void sendSuccessor(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint) {
 		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, Optional.of(resumePoint));
 		request.successor = attempt;
 		this.attemptSender.start(attempt);
-		return attempt;
 	}
 
 	private void startResponseTimer(ServerAttempt attempt) {
@@ -192,6 +190,9 @@
 			return false;
 		}
 		request.possibleExecutions++;
+		if (attempt.isSuccessor()) {
+			this.migrator.onSuccessorSent(attempt);
+		}
 		return true;
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -119,15 +119,18 @@
 	}
 
 	/**
-	 * Returns whether a server that was selected earlier may still receive a generation.
+	 * Returns whether a server that was selected earlier may receive a generation now. If
+	 * the server has become cold, a permit is taken as for a request.
+	 * @param service service of the generation
 	 * @param entry the server
-	 * @return {@code false} if it terminates, has restarted, failed recently or is
-	 * evacuated
+	 * @return {@code false} if it terminates, has restarted, failed recently, is
+	 * evacuated, or is cold and has no permit left
 	 */
-	boolean isUsable(ServerEntry entry) {
-		return this.serverTable.find(entry.registration.id()).filter((current) -> current == entry).isPresent()
-				&& entry.acceptsRequests() && !entry.isEjected(this.context.scheduler.nowMillis())
-				&& !isEvacuated(entry.registration.dataCentre());
+	boolean tryUseSelected(ServiceSpec service, ServerEntry entry) {
+		long now = this.context.scheduler.nowMillis();
+		boolean current = this.serverTable.find(entry.registration.id()).filter((found) -> found == entry).isPresent();
+		return current && entry.acceptsRequests() && !entry.isEjected(now)
+				&& !isEvacuated(entry.registration.dataCentre()) && tryAcquireColdPermit(service, entry, now);
 	}
 
 	// Many instances select targets at the same moment from the same data; the random
