Stop the source of a migration 10 ms after the target was asked

Ruled out: backups (no migrated draft of a backup paused), the response timeout (calls as before). Now the source is stopped 10 ms after the request was sent, several times the round trip in which a refusal arrives.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -36,11 +36,11 @@
 	private static final long NO_TARGET_RETRY_DELAY_MILLIS = 100;
 
 	/**
-	 * Longest time for which source and target may both run the generation. The source is
-	 * then stopped even if the target has not responded, because its response may be
-	 * lost.
+	 * Time after which the source is stopped if the target has not refused. The target
+	 * has to generate again what the source sends meanwhile, so that a longer overlap
+	 * lengthens the pause.
 	 */
-	private static final long MAXIMUM_OVERLAP_MILLIS = 250;
+	private static final long MAXIMUM_OVERLAP_MILLIS = 10;
 
 	/**
 	 * Number of targets that may fail to continue a generation before it is left on its
