Correct what the migrator says of its source, drop an unused method

The class comment still told of the source running until the target responds; it is stopped once the target was asked and has had time to refuse. The search for a backup takes a permit, which its name now says. Behaviour as before.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/BufferedBytes.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/BufferedBytes.java
@@ -34,10 +34,6 @@
 		this.heldBytes -= bytes;
 	}
 
-	long maximumBytes() {
-		return this.maximumBytes;
-	}
-
 	long heldBytes() {
 		return this.heldBytes;
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -12,8 +12,8 @@
 /**
  * Migrates running generations to other servers without interrupting the response, when
  * their server terminates or has failed. A generation continues from its backup if it has
- * one, otherwise from a copy of its KV cache that is made while it runs. The source keeps
- * running until the target responds, so that a target that refuses costs nothing.
+ * one, otherwise from a copy of its KV cache that is made while it runs. The source is
+ * stopped only when the target was asked and has had time to refuse.
  */
 final class GenerationMigrator {
 
@@ -84,7 +84,7 @@
 			return;
 		}
 		request.migration = new GenerationMigration(attempt, this.context.scheduler.nowMillis());
-		usableBackup(attempt).ifPresentOrElse((backup) -> resumeOn(request, backup, backupResumePoint(request, backup)),
+		tryUseBackup(attempt).ifPresentOrElse((backup) -> resumeOn(request, backup, backupResumePoint(request, backup)),
 				() -> selectTargetAndCopy(request));
 	}
 
@@ -94,8 +94,8 @@
 	}
 
 	// Before its first event a generation may still wait at the source, and has no
-	// backup.
-	private Optional<ServerEntry> usableBackup(ServerAttempt attempt) {
+	// backup. Takes a permit if the server of the backup is cold.
+	private Optional<ServerEntry> tryUseBackup(ServerAttempt attempt) {
 		return Optional.ofNullable(attempt.backup)
 			.filter((backup) -> attempt.relayedEvents > 0)
 			.filter((backup) -> this.serverSelector.tryUseSelected(attempt.activeRequest.service, backup));
@@ -245,7 +245,7 @@
 			promoteSuccessor(request, request.successor, "source ended");
 			return true;
 		}
-		Optional<ServerEntry> backup = isMigratable(request) ? usableBackup(attempt) : Optional.empty();
+		Optional<ServerEntry> backup = isMigratable(request) ? tryUseBackup(attempt) : Optional.empty();
 		if (backup.isEmpty()) {
 			return false;
 		}
