Log how the end of a stream was marked and what was left of its last event

Cause: the users report generations that were broken off and reached their callers as complete. The lines of a request cannot tell a response without length or chunks from a chunked one, nor show that it ended inside an event.

Change: 'stream complete' names the framing of the server's response and the bytes after its last event. No logic is changed.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 
+import org.skylarkspring.gateway.http.ResponseFraming;
 import org.skylarkspring.gateway.policy.SseEvent;
 
 /**
@@ -73,7 +74,9 @@
 				Map.of("server", attempt.server.registration.id(), "route", request.route.name(), "first-event-millis",
 						request.firstEventMillis - request.arrivedMillis, "longest-pause-millis",
 						request.longestPauseMillis, "events", request.eventOrder.lastDeliveredId().orElse(""),
-						"carried", request.migration != null));
+						"carried", request.migration != null, "framing",
+						ResponseFraming.of(attempt.response().getResponseHeaders()), "unfinished-event-bytes",
+						trailingBytes.length));
 		this.activeRequests.finish(request, "completed");
 		request.responseWriter.end();
 	}
