Treat a stream that ends inside an event as broken off

What callers saw: a generation whose server had crashed arrived as a complete response with half an event at its end.

Cause: a response without length or chunks ends with its connection, and a crash closes the connection in the same way. The gateway took the end of the connection for the end of the response, passed the bytes of the unfinished event on and completed its own chunked response.

Why this fix works: whatever the framing says, a stream is complete only between two events; without length or chunks it must also have sent one. A truncated stream takes the way of any failed attempt: a successor or backup continues it, a resumable one is repeated after the last complete event, any other is aborted so that the caller sees it. Bytes of an unfinished event are never passed on.

What cannot be known: a server that crashes exactly between two events of a response without length or chunks and closes its connection regularly looks like one that has finished.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -12,6 +12,7 @@
 
 import org.skylarkspring.gateway.http.DeliveryStatus;
 import org.skylarkspring.gateway.http.HttpClientCall;
+import org.skylarkspring.gateway.http.ResponseFraming;
 import org.skylarkspring.gateway.model.DispatchHead;
 import org.skylarkspring.gateway.model.ResponseHead;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
@@ -74,6 +75,9 @@
 
 	private boolean streaming;
 
+	/** Number of events received, including duplicates that are not relayed. */
+	private int receivedEvents;
+
 	private boolean detached;
 
 	ServerAttempt(GatewayContext context, RequestDispatcher dispatcher, ActiveRequest activeRequest, ServerEntry server,
@@ -210,6 +214,7 @@
 	}
 
 	private boolean onEvent(SseEvent event) {
+		this.receivedEvents++;
 		if (isSuccessor()) {
 			this.dispatcher.onSuccessorEvent(this);
 		}
@@ -252,16 +257,34 @@
 		}
 		cancelResponseTimer();
 		this.detached = true;
-		byte[] trailingBytes = this.splitter.incompleteEventBytes();
+		if (!this.streaming) {
+			this.dispatcher.onResponseComplete(this);
+			return;
+		}
+		Optional<String> truncation = describeTruncation();
+		if (truncation.isPresent()) {
+			this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN, truncation.get());
+			return;
+		}
 		if (isSuccessor()) {
 			this.dispatcher.onSuccessorEvent(this);
 		}
-		if (this.streaming) {
-			this.dispatcher.streamRelay().completeStream(this, trailingBytes);
-		}
-		else {
-			this.dispatcher.onResponseComplete(this);
+		this.dispatcher.streamRelay().completeStream(this, this.splitter.bytesAfterLastEvent());
+	}
+
+	// A server that breaks off a stream without length or chunks ends it in the same way
+	// as a complete one.
+	private Optional<String> describeTruncation() {
+		if (this.splitter.isInsideEvent()) {
+			return Optional.of("stream ended inside an event, framing " + framing());
 		}
+		boolean empty = this.receivedEvents == 0;
+		return (empty && framing() == ResponseFraming.CONNECTION_CLOSE)
+				? Optional.of("connection closed before the first event") : Optional.empty();
+	}
+
+	ResponseFraming framing() {
+		return ResponseFraming.of(this.response.getResponseHeaders());
 	}
 
 	@Override
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 
-import org.skylarkspring.gateway.http.ResponseFraming;
 import org.skylarkspring.gateway.policy.SseEvent;
 
 /**
@@ -54,9 +53,9 @@
 	}
 
 	/**
-	 * Handles the regular end of a stream.
+	 * Handles the end of a complete stream.
 	 * @param attempt the attempt that received the stream
-	 * @param trailingBytes bytes after the last complete event, may be empty
+	 * @param trailingBytes line breaks after the last event, may be empty
 	 */
 	void completeStream(ServerAttempt attempt, byte[] trailingBytes) {
 		ActiveRequest request = attempt.activeRequest;
@@ -74,9 +73,7 @@
 				Map.of("server", attempt.server.registration.id(), "route", request.route.name(), "first-event-millis",
 						request.firstEventMillis - request.arrivedMillis, "longest-pause-millis",
 						request.longestPauseMillis, "events", request.eventOrder.lastDeliveredId().orElse(""),
-						"carried", request.migration != null, "framing",
-						ResponseFraming.of(attempt.response().getResponseHeaders()), "unfinished-event-bytes",
-						trailingBytes.length));
+						"carried", request.migration != null, "framing", attempt.framing()));
 		this.activeRequests.finish(request, "completed");
 		request.responseWriter.end();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/SseEventSplitter.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/SseEventSplitter.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 
 /**
  * Splits a byte stream into complete server-sent events. An event ends with an empty
@@ -46,10 +47,19 @@
 	}
 
 	/**
-	 * Returns the bytes received of an event that is not complete yet.
+	 * Returns whether the bytes received so far end inside an event.
+	 * @return {@code false} if only line breaks follow the last complete event
+	 */
+	public boolean isInsideEvent() {
+		return IntStream.range(0, this.bufferedBytes)
+			.anyMatch((position) -> this.buffer[position] != '\n' && this.buffer[position] != '\r');
+	}
+
+	/**
+	 * Returns the bytes received after the last complete event.
 	 * @return the bytes, may be empty
 	 */
-	public byte[] incompleteEventBytes() {
+	public byte[] bytesAfterLastEvent() {
 		return Arrays.copyOf(this.buffer, this.bufferedBytes);
 	}
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/SseEventSplitterPropertyTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/SseEventSplitterPropertyTests.java
@@ -43,7 +43,7 @@
 		List<String> expected = new ArrayList<>();
 		String rest = splitWhole(text, expected);
 		assertThat(events, is(expected));
-		assertThat(new String(splitter.incompleteEventBytes(), StandardCharsets.UTF_8), is(rest));
+		assertThat(new String(splitter.bytesAfterLastEvent(), StandardCharsets.UTF_8), is(rest));
 	}
 
 	@Property(tries = 200, seed = "22")
@@ -56,7 +56,7 @@
 			});
 		}
 		assertThat(accepted, is(false));
-		assertThat(splitter.incompleteEventBytes().length, lessThanOrEqualTo(SseEventSplitter.MAXIMUM_EVENT_BYTES));
+		assertThat(splitter.bytesAfterLastEvent().length, lessThanOrEqualTo(SseEventSplitter.MAXIMUM_EVENT_BYTES));
 	}
 
 	private static String splitWhole(String text, List<String> events) {
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/SseEventSplitterTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/SseEventSplitterTests.java
@@ -45,15 +45,23 @@
 		void keepsBytesOfIncompleteEvent() {
 			acceptText("id: 1\ndata: a\n\nid: 2\nda");
 			assertThat(SseEventSplitterTests.this.events, contains("id: 1\ndata: a\n\n"));
-			assertThat(new String(SseEventSplitterTests.this.splitter.incompleteEventBytes(), StandardCharsets.UTF_8),
+			assertThat(new String(SseEventSplitterTests.this.splitter.bytesAfterLastEvent(), StandardCharsets.UTF_8),
 					is("id: 2\nda"));
 		}
 
+		@Test
+		void lineBreaksAfterEventAreNotInsideNextEvent() {
+			acceptText("id: 1\ndata: a\n\n\r\n");
+			assertThat(SseEventSplitterTests.this.splitter.isInsideEvent(), is(false));
+			acceptText("i");
+			assertThat(SseEventSplitterTests.this.splitter.isInsideEvent(), is(true));
+		}
+
 		@Test
 		void reassemblesEventReceivedByteByByte() {
 			"id: 7\ndata: xyz\n\n".chars().forEach((character) -> acceptText(String.valueOf((char) character)));
 			assertThat(SseEventSplitterTests.this.events, contains("id: 7\ndata: xyz\n\n"));
-			assertThat(SseEventSplitterTests.this.splitter.incompleteEventBytes().length, is(0));
+			assertThat(SseEventSplitterTests.this.splitter.bytesAfterLastEvent().length, is(0));
 		}
 
 		@Test
