Mark the end of a response to callers that get no chunks

A stream that the gateway aborts is closed; that shows as a truncation only if the response is chunked. A caller that sends 'Connection: close', and every caller of an instance that is shutting down, got a response without chunks, whose end and whose abort look the same.

Cause: the HTTP server chunks a response of unknown length only on a connection that stays open.

Evidence: abortedStreamIsVisiblyTruncatedForCallerThatAsksToCloseConnection and abortedStreamOfCallerWithoutChunksEndsWithReset failed before, and pass now.

Why this fix works: responses of unknown length are always chunked for HTTP/1.1. For HTTP/1.0 the connection is set to reset on close until the response has ended, which also covers a process that exits or is killed meanwhile.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerResponseWriter.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerResponseWriter.java
@@ -7,14 +7,17 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
  * Writes the response to a caller in parts. If a response cannot be completed, its
- * connection is closed, so that the caller never takes it for a complete one.
+ * connection is closed before the last chunk or, where the caller does not know chunks,
+ * reset, so that the caller never takes it for a complete one.
  */
 final class CallerResponseWriter {
 
@@ -50,6 +53,12 @@
 
 	void startResponse(int status, HeaderMap headers) {
 		setStatusAndHeaders(status, headers);
+		if (this.exchange.isHttp11()) {
+			this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+		}
+		else {
+			setResetOnClose(true);
+		}
 		this.sink = this.exchange.getResponseChannel();
 		this.sink.getWriteSetter().set((ChannelListener<StreamSinkChannel>) (channel) -> flushPending());
 	}
@@ -97,6 +106,16 @@
 		this.exchange.getResponseSender().send(ByteBuffer.wrap(body));
 	}
 
+	private void setResetOnClose(boolean reset) {
+		try {
+			this.exchange.getConnection().setOption(Options.CLOSE_ABORT, reset);
+		}
+		catch (IOException ex) {
+			// The connection is closed already.
+			this.closed = true;
+		}
+	}
+
 	private void setStatusAndHeaders(int status, HeaderMap headers) {
 		this.exchange.setStatusCode(status);
 		for (HttpString name : headers.getHeaderNames()) {
@@ -116,6 +135,9 @@
 			}
 			if (this.endRequested) {
 				this.closed = true;
+				if (!this.exchange.isHttp11()) {
+					setResetOnClose(false);
+				}
 				this.exchange.endExchange();
 				return;
 			}
