Log the parts of the prompt and the progress of a failed attempt

The lines of its failed attempts do not say whether the response had begun, which now can only be guessed from the name of an exception, nor what the requests have in common.

No logic is changed.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -196,11 +196,11 @@
 	 */
 	void logAttemptDecision(ActiveRequest request, String decision, ServerAttempt attempt, String reason) {
 		this.context.metrics.recordDecision(decision);
-		this.context.log.logRequest(request.id(), decision,
-				Map.of("route", request.route.name(), "server", attempt.server.registration.id(), "reason", reason,
-						"runs", request.possibleExecutions, "last-event",
-						request.eventOrder.lastDeliveredId().orElse(""), "millis",
-						this.context.scheduler.nowMillis() - request.arrivedMillis));
+		this.context.log.logRequest(request.id(), decision, Map.of("route", request.route.name(), "server",
+				attempt.server.registration.id(), "reason", reason, "runs", request.possibleExecutions, "last-event",
+				request.eventOrder.lastDeliveredId().orElse(""), "millis",
+				this.context.scheduler.nowMillis() - request.arrivedMillis, "head-received", attempt.hasResponse(),
+				"events", attempt.relayedEvents, "prompt-parts", String.join(",", request.head.promptPartIds())));
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/RequestHead.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/RequestHead.java
@@ -1,5 +1,6 @@
 package org.skylarkspring.gateway.model;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -10,7 +11,9 @@
  * @param deadlineMillis time the caller waits, in milliseconds, empty if not stated
  * @param apiKey the caller's API key, empty if it sent none
  * @param generationSize size of the requested generation, empty if not stated
+ * @param promptPartIds ids of the parts of the prompt in order, the last of which belongs
+ * to this request or its session alone; empty if not stated
  */
 public record RequestHead(String requestId, OptionalLong deadlineMillis, Optional<String> apiKey,
-		Optional<GenerationSize> generationSize) {
+		Optional<GenerationSize> generationSize, List<String> promptPartIds) {
 }
