Quarantine parts of prompts on which servers crash

Cause: nothing remembered why an attempt was lost. A request on which an engine crashes as it begins to respond was retried on the next engine, refused callers sent it again, and the next request with the same part of the prompt met no obstacle on any instance. Retry budgets bound how often requests are repeated, not how many servers one prompt takes down.

Change: a server that is lost between the head and the second event of a new response, without a notice that it terminates, is reported in the platform's store under each shared part of the prompt that has not succeeded lately. With reports of three servers a part is quarantined on all instances: requests with it are refused with a true 503 and the remaining time, requests that wait for a server are withdrawn, and a suspected request is not retried. A successful response to any prompt with the part removes its reports; if all crashed prompts had further parts in common, only prompts with all of these are refused.

Why this works: prompts differ, but the part that crashes servers never succeeds, while the parts that sound prompts share with it do, on some instance and within seconds. Being in the store, the knowledge is with all instances in a few milliseconds and survives their restart.

Ruled out: counting on each instance alone (75 instances see a part twice only after ten crashes); reports between peers (three hops of a second each, lost when all processes are killed); suspecting requests that wait on the crashed server (with engines crashing every 0.4 s, parts of sound prompts would be quarantined); refusing by the caller's key or route (sound requests share them).

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -79,8 +79,20 @@
 	 * @param reason reason to log
 	 */
 	void end(ActiveRequest request, RetryDecision decision, String reason) {
+		end(request, decision, reason, RETRY_AFTER_MILLIS);
+	}
+
+	/**
+	 * Ends a request that got no complete response from a server.
+	 * @param request the request
+	 * @param decision how the request ends, any decision but {@code RETRY}
+	 * @param reason reason to log
+	 * @param retryAfterMillis time after which the caller may send a rejected request
+	 * again, in milliseconds
+	 */
+	void end(ActiveRequest request, RetryDecision decision, String reason, long retryAfterMillis) {
 		switch (decision) {
-			case REJECT -> rejectWithRetryAfter(request, reason);
+			case REJECT -> rejectWithRetryAfter(request, reason, retryAfterMillis);
 			case FAIL -> failWithStatus(request, BAD_GATEWAY, reason);
 			case CLOSE_CONNECTION -> abortResponse(request, reason);
 			default -> throw new IllegalArgumentException("not a terminal decision: " + decision);
@@ -108,13 +120,13 @@
 		}
 	}
 
-	private void rejectWithRetryAfter(ActiveRequest request, String reason) {
+	private void rejectWithRetryAfter(ActiveRequest request, String reason, long retryAfterMillis) {
 		this.context.log.logRequest(request.id(), "refused",
-				Map.of("route", request.route.name(), "reason", reason, "retry-after-millis", RETRY_AFTER_MILLIS,
-						"sends", request.sendCount, "configuration-age-millis", this.configuration.ageMillis()));
+				Map.of("route", request.route.name(), "reason", reason, "retry-after-millis", retryAfterMillis, "sends",
+						request.sendCount, "configuration-age-millis", this.configuration.ageMillis()));
 		finish(request, "refused");
 		HeaderMap headers = new HeaderMap();
-		this.context.callerProtocol.encodeRetryAfter(headers, RETRY_AFTER_MILLIS);
+		this.context.callerProtocol.encodeRetryAfter(headers, retryAfterMillis);
 		request.responseWriter.sendComplete(SERVICE_UNAVAILABLE, headers, new byte[0]);
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
@@ -61,6 +61,11 @@
 		.help("Backend servers that may get requests")
 		.register(this.registry);
 
+	private final Gauge quarantinedPromptParts = Gauge.builder()
+		.name("gateway_quarantined_prompt_parts")
+		.help("Parts of prompts that are not sent to servers because servers crashed on them")
+		.register(this.registry);
+
 	private final Gauge configurationAgeSeconds = Gauge.builder()
 		.name("gateway_configuration_age_seconds")
 		.help("Time since the store last confirmed the configuration, negative if it is unknown")
@@ -95,6 +100,10 @@
 		this.activeRequests.set(count);
 	}
 
+	void setQuarantinedPromptParts(int count) {
+		this.quarantinedPromptParts.set(count);
+	}
+
 	byte[] toPrometheusText() {
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		try {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -48,6 +48,8 @@
 
 	private static final long INSTANCE_WATCH_TIMEOUT_MILLIS = 15_000;
 
+	private static final long PROMPT_CRASH_WATCH_TIMEOUT_MILLIS = 8_000;
+
 	private static final long TICK_INTERVAL_MILLIS = 100;
 
 	private static final int OK = 200;
@@ -80,6 +82,8 @@
 
 	private final ActiveRequestRegistry activeRequests;
 
+	private final PromptQuarantine promptQuarantine;
+
 	private final RequestDispatcher dispatcher;
 
 	private final GenerationMigrator migrator;
@@ -135,8 +139,10 @@
 		this.serverSelector = new ServerSelector(this.context, this.servers, this.peers, this.reachability,
 				PlacementCostFunctions.leastLoaded());
 		this.activeRequests = new ActiveRequestRegistry(this.context, this.configuration);
+		this.promptQuarantine = new PromptQuarantine(this.context, this.store, this.activeRequests);
 		this.dispatcher = new RequestDispatcher(this.context, this.configuration, this.serverSelector,
-				new RetryBudgets(settings, this.context.scheduler, this.peers), this.reachability, this.activeRequests);
+				new RetryBudgets(settings, this.context.scheduler, this.peers), this.reachability, this.activeRequests,
+				this.promptQuarantine);
 		this.migrator = new GenerationMigrator(this.context, this.dispatcher, this.activeRequests, this.serverSelector);
 		this.dispatcher.setMigrator(this.migrator);
 		this.activeRequests.setEndListener(this.migrator::onRequestEnded);
@@ -217,6 +223,7 @@
 		this.configuration.start();
 		startWatch(ObjectKind.SERVERS, SERVER_WATCH_TIMEOUT_MILLIS, new ServerListener());
 		startWatch(ObjectKind.EVACUATIONS, EVACUATION_WATCH_TIMEOUT_MILLIS, new EvacuationListener());
+		startWatch(ObjectKind.PROMPT_CRASHES, PROMPT_CRASH_WATCH_TIMEOUT_MILLIS, this.promptQuarantine);
 	}
 
 	private void startWatch(ObjectKind kind, long watchTimeoutMillis, ObjectInformer.Listener listener) {
@@ -233,6 +240,7 @@
 		this.peers.applyLoadsTo(this.servers, now);
 		this.dispatcher.streamRelay().logStalledStreams();
 		this.callerTimeouts.tick(now);
+		this.promptQuarantine.tick();
 		this.context.metrics.recordState(this.servers.all().stream().filter(ServerEntry::acceptsRequests).count(),
 				this.configuration.ageMillis());
 	}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
@@ -0,0 +1,221 @@
+package org.skylarkspring.gateway.internal;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+
+import org.skylarkspring.gateway.model.ObjectChange;
+import org.skylarkspring.gateway.model.ObjectKind;
+import org.skylarkspring.gateway.model.PromptCrash;
+import org.skylarkspring.gateway.model.StoreResult;
+import org.skylarkspring.gateway.model.StoredObject;
+import org.skylarkspring.gateway.policy.PromptCrashTable;
+import org.skylarkspring.gateway.port.ObjectStore;
+
+/**
+ * Keeps prompts away from the servers that would crash on them. The reports of crashes
+ * are objects in the platform's store, so that all instances refuse the same prompts and
+ * a restarted one knows them.
+ */
+final class PromptQuarantine implements ObjectInformer.Listener {
+
+	private static final String REFUSAL_REASON = "servers have crashed on a part of the prompt";
+
+	private static final long MAXIMUM_RETENTION_JITTER_MILLIS = 60_000;
+
+	private static final long WRITE_RETRY_DELAY_MILLIS = 1_000;
+
+	private final Gson gson = new Gson();
+
+	private final PromptCrashTable table = new PromptCrashTable(
+			ThreadLocalRandom.current().nextLong(MAXIMUM_RETENTION_JITTER_MILLIS));
+
+	private final GatewayContext context;
+
+	private final ObjectStore store;
+
+	private final ActiveRequestRegistry activeRequests;
+
+	/** Reports of this instance that the store has not acknowledged yet, by name. */
+	private final Map<String, PromptCrash> unwritten = new HashMap<>();
+
+	private Map<String, Set<String>> loggedQuarantines = Map.of();
+
+	PromptQuarantine(GatewayContext context, ObjectStore store, ActiveRequestRegistry activeRequests) {
+		this.context = context;
+		this.store = store;
+		this.activeRequests = activeRequests;
+	}
+
+	/**
+	 * Ends a request whose prompt is quarantined.
+	 * @param request the request
+	 * @return {@code true} if the request has been ended
+	 */
+	boolean endIfQuarantined(ActiveRequest request) {
+		List<String> partIds = request.head.sharedPromptPartIds();
+		if (partIds.isEmpty() || !this.table.isQuarantined(partIds)) {
+			return false;
+		}
+		this.context.metrics.recordDecision("quarantined prompt refused");
+		this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(), REFUSAL_REASON,
+				this.table.remainingQuarantineMillis(partIds, this.context.scheduler.nowMillis()));
+		return true;
+	}
+
+	/**
+	 * Returns whether a request that has failed should not be retried, because it may
+	 * crash another server.
+	 * @param request the request
+	 * @return {@code true} if servers have crashed on a part of its prompt
+	 */
+	boolean isSuspect(ActiveRequest request) {
+		return this.table.isSuspect(request.head.sharedPromptPartIds());
+	}
+
+	/**
+	 * Reports that a server was lost as it began to respond to a prompt.
+	 * @param attempt the attempt on that server
+	 */
+	void reportCrash(ServerAttempt attempt) {
+		ActiveRequest request = attempt.activeRequest;
+		List<String> sharedPartIds = request.head.sharedPromptPartIds();
+		List<PromptCrash> crashes = this.table.suspectPartIds(sharedPartIds, this.context.scheduler.nowMillis())
+			.stream()
+			.map((partId) -> new PromptCrash(partId, attempt.server.registration.incarnation(), sharedPartIds,
+					request.id(), this.context.settings.instanceId()))
+			.filter(this::add)
+			.toList();
+		if (crashes.isEmpty()) {
+			return;
+		}
+		this.context.metrics.recordDecision("prompt crash reported");
+		this.context.log.logRequest(request.id(), "server lost at start of response, prompt suspected",
+				Map.of("server", attempt.server.registration.id(), "prompt-parts", String.join(",", sharedPartIds),
+						"suspected", String.join(",", crashes.stream().map(PromptCrash::partId).toList())));
+		crashes.forEach(this::write);
+		applyQuarantines();
+	}
+
+	/**
+	 * Records that a server has responded to a prompt, which clears its parts of
+	 * suspicion.
+	 * @param request the request
+	 */
+	void recordSuccess(ActiveRequest request) {
+		List<String> sharedPartIds = request.head.sharedPromptPartIds();
+		List<PromptCrash> contradicted = this.table.recordSuccess(sharedPartIds, this.context.scheduler.nowMillis());
+		if (!contradicted.isEmpty()) {
+			this.context.log.logRequest(request.id(), "response succeeded, prompt no longer suspected",
+					Map.of("prompt-parts", String.join(",", sharedPartIds), "reports", contradicted.size()));
+			contradicted.forEach(this::removeFromStore);
+			applyQuarantines();
+		}
+	}
+
+	/** Removes expired reports. */
+	void tick() {
+		List<PromptCrash> expired = this.table.removeExpired(this.context.scheduler.nowMillis());
+		if (!expired.isEmpty()) {
+			expired.forEach(this::removeFromStore);
+			applyQuarantines();
+		}
+	}
+
+	@Override
+	public void onListed(List<StoredObject> all, boolean afterOutage) {
+		Set<String> listed = Set.copyOf(all.stream().map(StoredObject::name).toList());
+		this.table.names()
+			.stream()
+			.filter((name) -> !listed.contains(name) && !this.unwritten.containsKey(name))
+			.forEach(this.table::remove);
+		all.forEach(this::addStored);
+		applyQuarantines();
+	}
+
+	@Override
+	public void onChanged(ObjectChange change) {
+		if (change.deleted()) {
+			this.table.remove(change.object().name());
+		}
+		else {
+			addStored(change.object());
+		}
+		applyQuarantines();
+	}
+
+	private void addStored(StoredObject object) {
+		decode(object).ifPresent(this::add);
+	}
+
+	private Optional<PromptCrash> decode(StoredObject object) {
+		Optional<PromptCrash> crash = Optional.empty();
+		try {
+			crash = Optional.ofNullable(this.gson.fromJson(object.content(), PromptCrash.class))
+				.filter(PromptCrash::hasRequiredFields)
+				.filter((decoded) -> decoded.name().equals(object.name()));
+		}
+		catch (JsonParseException ex) {
+			this.context.log.logStateChange("cannot parse crash report", Map.of("reason", String.valueOf(ex)));
+		}
+		if (crash.isEmpty()) {
+			this.context.log.logStateChange("invalid crash report ignored", Map.of("name", object.name()));
+		}
+		return crash;
+	}
+
+	private boolean add(PromptCrash crash) {
+		return this.table.add(crash, this.context.scheduler.nowMillis());
+	}
+
+	private void write(PromptCrash crash) {
+		this.unwritten.put(crash.name(), crash);
+		this.store.write(ObjectKind.PROMPT_CRASHES, crash.name(), this.gson.toJson(crash), (result) -> {
+			if (result instanceof StoreResult.Written) {
+				this.unwritten.remove(crash.name());
+				return;
+			}
+			this.context.log.logStateChange("crash report could not be stored, trying again",
+					Map.of("name", crash.name(), "result", String.valueOf(result)));
+			this.context.scheduler.schedule(WRITE_RETRY_DELAY_MILLIS, () -> retryWrite(crash));
+		});
+	}
+
+	private void retryWrite(PromptCrash crash) {
+		if (this.table.names().contains(crash.name())) {
+			write(crash);
+		}
+		else {
+			this.unwritten.remove(crash.name());
+		}
+	}
+
+	private void removeFromStore(PromptCrash crash) {
+		this.store.remove(ObjectKind.PROMPT_CRASHES, crash.name(),
+				(result) -> this.context.log.logStateChange("crash report removed",
+						Map.of("name", crash.name(), "result", result.getClass().getSimpleName())));
+	}
+
+	// A request that is waiting on a server would crash it as soon as it is its turn.
+	private void applyQuarantines() {
+		Map<String, Set<String>> quarantines = this.table.quarantines();
+		if (quarantines.equals(this.loggedQuarantines)) {
+			return;
+		}
+		this.loggedQuarantines = quarantines;
+		this.context.metrics.setQuarantinedPromptParts(quarantines.size());
+		this.context.log.logStateChange("quarantined prompt parts updated",
+				Map.of("parts", String.valueOf(quarantines)));
+		List.copyOf(this.activeRequests.requests())
+			.stream()
+			.filter((request) -> !request.finished && !request.isCommitted())
+			.forEach(this::endIfQuarantined);
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -34,6 +34,8 @@
 
 	private final ActiveRequestRegistry activeRequests;
 
+	private final PromptQuarantine promptQuarantine;
+
 	private final StreamRelay streamRelay;
 
 	private final AttemptSender attemptSender;
@@ -45,15 +47,16 @@
 	private Consumer<Runnable> peerLoadRefresher = Runnable::run;
 
 	RequestDispatcher(GatewayContext context, ConfigurationPoller configuration, ServerSelector serverSelector,
-			RetryBudgets retryBudgets, DataCentreReachabilityTracker reachability,
-			ActiveRequestRegistry activeRequests) {
+			RetryBudgets retryBudgets, DataCentreReachabilityTracker reachability, ActiveRequestRegistry activeRequests,
+			PromptQuarantine promptQuarantine) {
 		this.context = context;
 		this.configuration = configuration;
 		this.serverSelector = serverSelector;
 		this.retryBudgets = retryBudgets;
 		this.reachability = reachability;
 		this.activeRequests = activeRequests;
-		this.streamRelay = new StreamRelay(context, activeRequests);
+		this.promptQuarantine = promptQuarantine;
+		this.streamRelay = new StreamRelay(context, activeRequests, promptQuarantine);
 		this.attemptSender = new AttemptSender(context, serverSelector);
 	}
 
@@ -110,10 +113,14 @@
 	/**
 	 * Selects a server for a request without a running attempt and sends the request to
 	 * it. Only a retryable request is sent to a server that was tried before, and only if
-	 * no other one is eligible. Ends the request if there is no eligible server.
+	 * no other one is eligible. Ends the request if its prompt is quarantined or there is
+	 * no eligible server.
 	 * @param request the request
 	 */
 	void dispatch(ActiveRequest request) {
+		if (this.promptQuarantine.endIfQuarantined(request)) {
+			return;
+		}
 		Optional<ServerEntry> server = this.serverSelector.selectServer(request.service, request.reservedTokens,
 				request.triedServers);
 		if (server.isEmpty() && request.route.semantics().isRetryable()) {
@@ -293,6 +300,12 @@
 			return;
 		}
 		this.activeRequests.logAttemptDecision(request, "attempt failed", attempt, deliveryStatus + ": " + reason);
+		if (attempt.isLostAtStart()) {
+			this.promptQuarantine.reportCrash(attempt);
+		}
+		if (request.finished) {
+			return;
+		}
 		boolean notSent = deliveryStatus == DeliveryStatus.NOT_SENT;
 		if (notSent && reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON)) {
 			this.reachability.recordConnectTimeout(attempt.server.registration.dataCentre(),
@@ -309,6 +322,9 @@
 			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
 					"API key invalid or not verifiable with a stale configuration");
 		}
+		else if (attempt.isLostAtStart() && this.promptQuarantine.isSuspect(request)) {
+			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(), reason);
+		}
 		else {
 			retryOrEnd(request, reason, () -> notSent || this.retryBudgets.tryAcquireRetry(request.service.name()));
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -31,6 +31,9 @@
 	 */
 	private static final int MAXIMUM_BUFFERED_BYTES = 64 * 1024;
 
+	/** Number of events up to which a response is considered to begin. */
+	private static final int MAXIMUM_EVENTS_AT_START = 1;
+
 	private static final int OK = 200;
 
 	private static final int MISDIRECTED_REQUEST = 421;
@@ -75,6 +78,9 @@
 
 	private boolean streaming;
 
+	/** Whether the server ended the connection before its response was complete. */
+	private boolean brokenOff;
+
 	/** Number of events received, including duplicates that are not relayed. */
 	private int receivedEvents;
 
@@ -129,6 +135,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether the server was lost as it began to write the response to a new
+	 * prompt, although it had given no notice that it terminates.
+	 * @return {@code true} if the server may have crashed on the prompt
+	 */
+	boolean isLostAtStart() {
+		return this.brokenOff && this.streaming && this.relayedEvents <= MAXIMUM_EVENTS_AT_START
+				&& this.dispatchHead.resumePoint().isEmpty() && this.server.acceptsRequests();
+	}
+
 	boolean isSuccessor() {
 		return this.activeRequest.successor == this;
 	}
@@ -263,6 +279,7 @@
 		}
 		Optional<String> truncation = describeTruncation();
 		if (truncation.isPresent()) {
+			this.brokenOff = true;
 			this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN, truncation.get());
 			return;
 		}
@@ -293,6 +310,7 @@
 			return;
 		}
 		this.detached = true;
+		this.brokenOff = hasResponse();
 		cancelResponseTimer();
 		this.dispatcher.onAttemptFailed(this, this.sent ? deliveryStatus : DeliveryStatus.NOT_SENT, reason);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
@@ -17,11 +17,19 @@
 
 	private final GatewayContext context;
 
+	/**
+	 * Number of events after which a server has evidently not crashed on the prompt.
+	 */
+	private static final int EVENTS_OF_SUCCESSFUL_START = 8;
+
 	private final ActiveRequestRegistry activeRequests;
 
-	StreamRelay(GatewayContext context, ActiveRequestRegistry activeRequests) {
+	private final PromptQuarantine promptQuarantine;
+
+	StreamRelay(GatewayContext context, ActiveRequestRegistry activeRequests, PromptQuarantine promptQuarantine) {
 		this.context = context;
 		this.activeRequests = activeRequests;
+		this.promptQuarantine = promptQuarantine;
 	}
 
 	/**
@@ -47,6 +55,9 @@
 		}
 		request.lastEventMillis = now;
 		attempt.relayedEvents++;
+		if (attempt.relayedEvents == EVENTS_OF_SUCCESSFUL_START) {
+			this.promptQuarantine.recordSuccess(request);
+		}
 		attempt.markPrefillComplete();
 		request.eventOrder.recordDelivered(event);
 		return request.responseWriter.write(event.bytes());
@@ -61,6 +72,7 @@
 		ActiveRequest request = attempt.activeRequest;
 		this.activeRequests.detachAttempt(attempt);
 		attempt.server.recordSuccess(this.context.scheduler.nowMillis());
+		this.promptQuarantine.recordSuccess(request);
 		if (!request.isCommitted()) {
 			request.responseWriter.startResponse(attempt.response().getResponseCode(), attempt.responseHeaders());
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/ObjectKind.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/ObjectKind.java
@@ -15,6 +15,9 @@
 	EVACUATIONS,
 
 	/** Instances of this system, which register themselves. */
-	INSTANCES
+	INSTANCES,
+
+	/** Reports of instances that a server crashed on a prompt. */
+	PROMPT_CRASHES
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/RequestHead.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/RequestHead.java
@@ -16,4 +16,13 @@
  */
 public record RequestHead(String requestId, OptionalLong deadlineMillis, Optional<String> apiKey,
 		Optional<GenerationSize> generationSize, List<String> promptPartIds) {
+
+	/**
+	 * Returns the parts of the prompt that other requests may contain as well.
+	 * @return ids of all parts but the last
+	 */
+	public List<String> sharedPromptPartIds() {
+		return this.promptPartIds.isEmpty() ? List.of() : this.promptPartIds.subList(0, this.promptPartIds.size() - 1);
+	}
+
 }
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/PromptCrashTableTests.java
@@ -0,0 +1,112 @@
+package org.skylarkspring.gateway.policy;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.skylarkspring.gateway.model.PromptCrash;
+import org.skylarkspring.gateway.model.ServerIncarnation;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link PromptCrashTable}.
+ */
+class PromptCrashTableTests {
+
+	private final PromptCrashTable table = new PromptCrashTable(0);
+
+	private static PromptCrash crash(String partId, int server, String... sharedPartIds) {
+		return new PromptCrash(partId, new ServerIncarnation("s" + server, 1), List.of(sharedPartIds), "r" + server,
+				"i");
+	}
+
+	private void addCrashes(int count, String partId, String... sharedPartIds) {
+		IntStream.range(0, count).forEach((server) -> this.table.add(crash(partId, server, sharedPartIds), 0));
+	}
+
+	@Nested
+	class Quarantine {
+
+		@Test
+		void startsWithThirdCrashedServer() {
+			addCrashes(2, "bad", "bad");
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("bad")), is(false));
+			assertThat(PromptCrashTableTests.this.table.isSuspect(List.of("bad")), is(true));
+			PromptCrashTableTests.this.table.add(crash("bad", 2, "bad"), 0);
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("first", "bad")), is(true));
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("first")), is(false));
+		}
+
+		@Test
+		void countsEachServerOnce() {
+			IntStream.range(0, 5).forEach((report) -> PromptCrashTableTests.this.table.add(crash("bad", 1, "bad"), 0));
+			assertThat(PromptCrashTableTests.this.table.isSuspect(List.of("bad")), is(false));
+		}
+
+		@Test
+		void coversOnlyPromptsWithAllCommonParts() {
+			addCrashes(3, "first", "first", "bad");
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("first", "other")), is(false));
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("first", "bad")), is(true));
+		}
+
+		@Test
+		void widensWhenCrashingPromptsHaveFewerPartsInCommon() {
+			addCrashes(3, "bad", "first", "bad");
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("other", "bad")), is(false));
+			PromptCrashTableTests.this.table.add(crash("bad", 3, "other", "bad"), 0);
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("third", "bad")), is(true));
+		}
+
+		@Test
+		void endsWhenReportsExpire() {
+			addCrashes(3, "bad", "bad");
+			long end = PromptCrashTable.RETENTION_MILLIS;
+			assertThat(PromptCrashTableTests.this.table.remainingQuarantineMillis(List.of("bad"), end - 1_000),
+					is(1_000L));
+			assertThat(PromptCrashTableTests.this.table.removeExpired(end - 1), empty());
+			assertThat(PromptCrashTableTests.this.table.removeExpired(end), hasSize(3));
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("bad")), is(false));
+			assertThat(PromptCrashTableTests.this.table.names(), empty());
+		}
+
+		@Test
+		void keepsLimitedNumberOfReports() {
+			addCrashes(1_001, "bad", "bad");
+			assertThat(PromptCrashTableTests.this.table.names(), hasSize(1_000));
+		}
+
+	}
+
+	@Nested
+	class Successes {
+
+		@Test
+		void clearPartsOfPromptThatSucceeded() {
+			addCrashes(3, "first", "first");
+			addCrashes(3, "bad", "bad");
+			assertThat(PromptCrashTableTests.this.table.recordSuccess(List.of("first", "other"), 0), hasSize(3));
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("first", "other")), is(false));
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("first", "bad")), is(true));
+		}
+
+		@Test
+		void preventSuspicionForWhile() {
+			PromptCrashTableTests.this.table.recordSuccess(List.of("first"), 0);
+			long remembered = PromptCrashTable.SUCCESS_MEMORY_MILLIS;
+			assertThat(PromptCrashTableTests.this.table.suspectPartIds(List.of("first", "bad"), remembered - 1),
+					contains("bad"));
+			assertThat(PromptCrashTableTests.this.table.suspectPartIds(List.of("first", "bad"), remembered),
+					contains("first", "bad"));
+		}
+
+	}
+
+}
