Keep recent crash reports when the store returns from an older copy

Cause: the quarantine of prompts rests on reports in the store. A store that comes back from a copy some seconds old has lost the latest of them, and with a list that lacks them every instance forgot them at once.

A deletion that is watched takes effect at once, as before.

What remains: an instance that starts between the loss and the rewriting learns the report only with the rewriting; if the reporting instance is gone, only the others of that time keep it.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
@@ -1,11 +1,12 @@
 package org.skylarkspring.gateway.internal;
 
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 
 import com.google.gson.Gson;
 import com.google.gson.JsonParseException;
@@ -42,8 +43,8 @@
 
 	private final ActiveRequestRegistry activeRequests;
 
-	/** Reports of this instance that the store has not acknowledged yet, by name. */
-	private final Map<String, PromptCrash> unwritten = new HashMap<>();
+	/** Names of the reports that are being written to the store. */
+	private final Set<String> unwritten = new HashSet<>();
 
 	private Map<String, Set<String>> loggedQuarantines = Map.of();
 
@@ -130,11 +131,12 @@
 
 	@Override
 	public void onListed(List<StoredObject> all, boolean afterOutage) {
-		Set<String> listed = Set.copyOf(all.stream().map(StoredObject::name).toList());
-		this.table.names()
+		Set<String> listed = all.stream().map(StoredObject::name).collect(Collectors.toSet());
+		this.table.retainListed(listed, this.context.scheduler.nowMillis())
 			.stream()
-			.filter((name) -> !listed.contains(name) && !this.unwritten.containsKey(name))
-			.forEach(this.table::remove);
+			.filter((crash) -> this.context.settings.instanceId().equals(crash.instanceId()))
+			.filter((crash) -> !this.unwritten.contains(crash.name()))
+			.forEach(this::write);
 		all.forEach(this::addStored);
 		applyQuarantines();
 	}
@@ -171,11 +173,14 @@
 	}
 
 	private boolean add(PromptCrash crash) {
+		if (this.table.isFull()) {
+			this.context.log.logStateChange("too many crash reports, report ignored", Map.of("name", crash.name()));
+		}
 		return this.table.add(crash, this.context.scheduler.nowMillis());
 	}
 
 	private void write(PromptCrash crash) {
-		this.unwritten.put(crash.name(), crash);
+		this.unwritten.add(crash.name());
 		this.store.write(ObjectKind.PROMPT_CRASHES, crash.name(), this.gson.toJson(crash), (result) -> {
 			if (result instanceof StoreResult.Written) {
 				this.unwritten.remove(crash.name());
@@ -188,7 +193,7 @@
 	}
 
 	private void retryWrite(PromptCrash crash) {
-		if (this.table.names().contains(crash.name())) {
+		if (this.table.contains(crash.name())) {
 			write(crash);
 		}
 		else {
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/PromptCrashTableTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/PromptCrashTableTests.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.policy;
 
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
@@ -74,13 +75,31 @@
 			assertThat(PromptCrashTableTests.this.table.removeExpired(end - 1), empty());
 			assertThat(PromptCrashTableTests.this.table.removeExpired(end), hasSize(3));
 			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("bad")), is(false));
-			assertThat(PromptCrashTableTests.this.table.names(), empty());
+			assertThat(PromptCrashTableTests.this.table.contains("bad.s1.1"), is(false));
 		}
 
 		@Test
 		void keepsLimitedNumberOfReports() {
-			addCrashes(1_001, "bad", "bad");
-			assertThat(PromptCrashTableTests.this.table.names(), hasSize(1_000));
+			addCrashes(1_000, "bad", "bad");
+			assertThat(PromptCrashTableTests.this.table.isFull(), is(true));
+			assertThat(PromptCrashTableTests.this.table.add(crash("bad", 1_000, "bad"), 0), is(false));
+		}
+
+	}
+
+	@Nested
+	class ListedReports {
+
+		@Test
+		void reportsThatStoreHasLostStayWhileRecent() {
+			addCrashes(3, "bad", "bad");
+			long lost = PromptCrashTable.MAXIMUM_STORE_LOSS_MILLIS;
+			Set<String> listed = Set.of("bad.s0.1");
+			assertThat(PromptCrashTableTests.this.table.retainListed(listed, lost - 1), hasSize(2));
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("bad")), is(true));
+			assertThat(PromptCrashTableTests.this.table.retainListed(listed, lost), empty());
+			assertThat(PromptCrashTableTests.this.table.isQuarantined(List.of("bad")), is(false));
+			assertThat(PromptCrashTableTests.this.table.contains("bad.s0.1"), is(true));
 		}
 
 	}
