Split the handling of outcomes from the dispatch of requests

The outcome of an attempt (retried, resumed, ended) is now AttemptOutcomeHandler, the usual response times are ServiceResponseTimes, and whether a request's key is still valid is asked of the configuration. Behaviour is the same: methods moved with their bodies.

--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -0,0 +1,180 @@
+package org.skylarkspring.gateway.internal;
+
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import org.skylarkspring.gateway.http.DeliveryStatus;
+import org.skylarkspring.gateway.http.HttpClientCall;
+import org.skylarkspring.gateway.policy.RetryDecision;
+
+/**
+ * Handles the outcome of each attempt: the response is passed on, or the request is
+ * retried, resumed on another server or ended.
+ */
+final class AttemptOutcomeHandler {
+
+	private static final int LOWEST_SERVER_ERROR_STATUS = 500;
+
+	private final GatewayContext context;
+
+	private final ConfigurationPoller configuration;
+
+	private final RetryBudgets retryBudgets;
+
+	private final DataCentreReachabilityTracker reachability;
+
+	private final ActiveRequestRegistry activeRequests;
+
+	private final PromptQuarantine promptQuarantine;
+
+	private final ServiceResponseTimes responseTimes;
+
+	/** Selects another server for a request and sends the request to it. */
+	private final Consumer<ActiveRequest> dispatcher;
+
+	private GenerationMigrator migrator;
+
+	AttemptOutcomeHandler(GatewayContext context, ConfigurationPoller configuration, RetryBudgets retryBudgets,
+			DataCentreReachabilityTracker reachability, ActiveRequestRegistry activeRequests,
+			PromptQuarantine promptQuarantine, ServiceResponseTimes responseTimes, Consumer<ActiveRequest> dispatcher) {
+		this.context = context;
+		this.configuration = configuration;
+		this.retryBudgets = retryBudgets;
+		this.reachability = reachability;
+		this.activeRequests = activeRequests;
+		this.promptQuarantine = promptQuarantine;
+		this.responseTimes = responseTimes;
+		this.dispatcher = dispatcher;
+	}
+
+	void setMigrator(GenerationMigrator migrator) {
+		this.migrator = migrator;
+	}
+
+	/**
+	 * Handles the first event of a server that continues a generation.
+	 * @param successor the attempt on that server
+	 */
+	void onSuccessorEvent(ServerAttempt successor) {
+		this.migrator.onSuccessorStarted(successor);
+	}
+
+	/**
+	 * Handles a complete response that is not a stream.
+	 * @param attempt the attempt that received the response
+	 */
+	void onResponseComplete(ServerAttempt attempt) {
+		ActiveRequest request = attempt.activeRequest;
+		this.activeRequests.detachAttempt(attempt);
+		int status = attempt.response().getResponseCode();
+		if (status >= LOWEST_SERVER_ERROR_STATUS) {
+			attempt.server.recordServerError(this.context.scheduler.nowMillis());
+			if (!request.isCommitted() && tryAcquireRetry(request)) {
+				this.activeRequests.logAttemptDecision(request, "server error, repeated elsewhere", attempt,
+						String.valueOf(status));
+				this.dispatcher.accept(request);
+				return;
+			}
+		}
+		else {
+			attempt.server.recordSuccess(this.context.scheduler.nowMillis());
+			this.responseTimes.record(request.service.name(),
+					this.context.scheduler.nowMillis() - attempt.startedMillis);
+		}
+		long latencyMillis = this.context.scheduler.nowMillis() - request.arrivedMillis;
+		this.context.metrics.recordLatency(request.route.name(), latencyMillis);
+		this.context.log.logRoutineRequest(this.context.scheduler.nowMillis(), request.id(), "answered",
+				Map.of("server", attempt.server.registration.id(), "route", request.route.name(), "status", status,
+						"millis", latencyMillis));
+		this.activeRequests.finish(request, (status >= LOWEST_SERVER_ERROR_STATUS) ? "server-error" : "completed");
+		if (request.isCommitted()) {
+			request.responseWriter.end();
+		}
+		else {
+			request.responseWriter.sendComplete(status, attempt.responseHeaders(), attempt.bufferedBody());
+		}
+	}
+
+	/**
+	 * Handles a response that states that the server did not execute the request.
+	 * @param attempt the attempt
+	 * @param status status code of the response
+	 */
+	void onNotExecuted(ServerAttempt attempt, int status) {
+		ActiveRequest request = attempt.activeRequest;
+		boolean successor = attempt.isSuccessor();
+		this.activeRequests.detachAttempt(attempt);
+		request.possibleExecutions--;
+		this.activeRequests.logAttemptDecision(request, "server refused", attempt, String.valueOf(status));
+		if (successor) {
+			this.migrator.onSuccessorFailed(attempt);
+			return;
+		}
+		if (!this.migrator.endIfResumeRejected(attempt)) {
+			retryOrEnd(request, "server refused", () -> this.retryBudgets.tryAcquireRetry(request.service.name()));
+		}
+	}
+
+	/**
+	 * Handles an attempt that failed or was interrupted.
+	 * @param attempt the attempt
+	 * @param deliveryStatus whether the request may have reached the server
+	 * @param reason cause of the failure to log
+	 */
+	void onAttemptFailed(ServerAttempt attempt, DeliveryStatus deliveryStatus, String reason) {
+		ActiveRequest request = attempt.activeRequest;
+		boolean successor = attempt.isSuccessor();
+		this.activeRequests.detachAttempt(attempt);
+		attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
+		if (request.finished) {
+			return;
+		}
+		this.activeRequests.logAttemptDecision(request, "attempt failed", attempt, deliveryStatus + ": " + reason);
+		if (attempt.isLostAtStart()) {
+			this.promptQuarantine.reportCrash(attempt);
+		}
+		if (request.finished) {
+			return;
+		}
+		boolean notSent = deliveryStatus == DeliveryStatus.NOT_SENT;
+		if (notSent && reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON)) {
+			this.reachability.recordConnectTimeout(attempt.server.registration.dataCentre(),
+					this.context.scheduler.nowMillis());
+		}
+		if (successor) {
+			this.migrator.onSuccessorFailed(attempt);
+			return;
+		}
+		if (this.migrator.takeOverFailedSource(attempt)) {
+			return;
+		}
+		if (request.possibleExecutions == 0 && request.isAuthenticated()
+				&& !this.configuration.hasValidKey(request.head)) {
+			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
+					"API key invalid or not verifiable with a stale configuration");
+		}
+		else if (attempt.isLostAtStart() && this.promptQuarantine.isSuspect(request)) {
+			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(), reason);
+		}
+		else {
+			retryOrEnd(request, reason, () -> notSent || this.retryBudgets.tryAcquireRetry(request.service.name()));
+		}
+	}
+
+	private void retryOrEnd(ActiveRequest request, String reason, BooleanSupplier budget) {
+		RetryDecision decision = request.toRetryContext().decide(budget);
+		if (decision == RetryDecision.RETRY) {
+			this.dispatcher.accept(request);
+		}
+		else {
+			this.activeRequests.end(request, decision, reason);
+		}
+	}
+
+	private boolean tryAcquireRetry(ActiveRequest request) {
+		return request.toRetryContext()
+			.decide(() -> this.retryBudgets.tryAcquireRetry(request.service.name())) == RetryDecision.RETRY;
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationPoller.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationPoller.java
@@ -7,9 +7,11 @@
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.model.ObjectKind;
+import org.skylarkspring.gateway.model.RequestHead;
 import org.skylarkspring.gateway.model.RoutingTable;
 import org.skylarkspring.gateway.model.StoreResult;
 import org.skylarkspring.gateway.model.StoredObject;
+import org.skylarkspring.gateway.model.WorkspaceSpec;
 import org.skylarkspring.gateway.policy.SuspensionDetector;
 import org.skylarkspring.gateway.port.ObjectDecoder;
 
@@ -120,6 +122,19 @@
 		return this.confirmed && ageMillis() < this.maximumAgeMillis;
 	}
 
+	/**
+	 * Returns whether the API key of a request may still be accepted.
+	 * @param head head of the request
+	 * @return {@code false} if the key is missing, unknown or cannot be verified any more
+	 */
+	boolean hasValidKey(RequestHead head) {
+		return isFresh() && head.apiKey().flatMap(this::findWorkspaceByApiKey).isPresent();
+	}
+
+	private Optional<WorkspaceSpec> findWorkspaceByApiKey(String apiKey) {
+		return routingTable().flatMap((table) -> table.findWorkspaceByApiKey(apiKey));
+	}
+
 	/**
 	 * Returns whether a version that is not in the routing table yet need not be in force
 	 * yet, so that a request may be denied without asking the store.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -1,27 +1,18 @@
 package org.skylarkspring.gateway.internal;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
-import org.skylarkspring.gateway.http.DeliveryStatus;
-import org.skylarkspring.gateway.http.HttpClientCall;
 import org.skylarkspring.gateway.model.GenerationResumePoint;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
-import org.skylarkspring.gateway.policy.ResponseTimeEstimator;
-import org.skylarkspring.gateway.policy.RetryDecision;
 
 /**
- * Dispatches requests to servers and handles the outcome of each attempt: the response is
- * relayed, or the request is retried, resumed on another server or ended.
+ * Dispatches requests to servers: selects a server, sends the request to it and to
+ * another one if it does not respond in time.
  */
 final class RequestDispatcher {
 
-	private static final int LOWEST_SERVER_ERROR_STATUS = 500;
-
 	private final GatewayContext context;
 
 	private final ConfigurationPoller configuration;
@@ -40,7 +31,9 @@
 
 	private final AttemptSender attemptSender;
 
-	private final Map<String, ResponseTimeEstimator> responseTimesByService = new HashMap<>();
+	private final ServiceResponseTimes responseTimes = new ServiceResponseTimes();
+
+	private final AttemptOutcomeHandler outcomes;
 
 	private GenerationMigrator migrator;
 
@@ -58,10 +51,17 @@
 		this.promptQuarantine = promptQuarantine;
 		this.streamRelay = new StreamRelay(context, activeRequests, promptQuarantine);
 		this.attemptSender = new AttemptSender(context, serverSelector);
+		this.outcomes = new AttemptOutcomeHandler(context, configuration, retryBudgets, reachability, activeRequests,
+				promptQuarantine, this.responseTimes, this::dispatch);
 	}
 
 	void setMigrator(GenerationMigrator migrator) {
 		this.migrator = migrator;
+		this.outcomes.setMigrator(migrator);
+	}
+
+	AttemptOutcomeHandler outcomes() {
+		return this.outcomes;
 	}
 
 	StreamRelay streamRelay() {
@@ -166,17 +166,12 @@
 			return;
 		}
 		double usualMillis = request.route.semantics().isStreaming() ? Double.MAX_VALUE
-				: responseTimes(request).usualMillis();
+				: this.responseTimes.usualMillis(request.service.name());
 		attempt.responseTimer = this.context.scheduler
 			.schedule(AttemptTimeouts.responseTimeoutMillis(request.route.targetLatencyMillis(), usualMillis,
 					attempt.dispatchHead.remainingMillis()), () -> onResponseTimeout(attempt));
 	}
 
-	private ResponseTimeEstimator responseTimes(ActiveRequest request) {
-		return this.responseTimesByService.computeIfAbsent(request.service.name(),
-				(service) -> new ResponseTimeEstimator());
-	}
-
 	/**
 	 * Returns whether an attempt may be sent now that its connection is established, and
 	 * if so, counts it as a possible execution of the request.
@@ -189,7 +184,7 @@
 		ActiveRequest request = attempt.activeRequest;
 		this.reachability.recordConnectSuccess(attempt.server.registration.dataCentre());
 		boolean firstExecution = request.possibleExecutions == 0;
-		if (firstExecution && request.isAuthenticated() && !isKeyValid(request)) {
+		if (firstExecution && request.isAuthenticated() && !this.configuration.hasValidKey(request.head)) {
 			return false;
 		}
 		if (attempt.dispatchHead.resumePoint().isEmpty() && (!attempt.server.acceptsRequests()
@@ -203,12 +198,6 @@
 		return true;
 	}
 
-	private boolean isKeyValid(ActiveRequest request) {
-		return this.configuration.isFresh() && this.configuration.routingTable()
-			.flatMap((table) -> request.head.apiKey().flatMap(table::findWorkspaceByApiKey))
-			.isPresent();
-	}
-
 	private void onResponseTimeout(ServerAttempt attempt) {
 		ActiveRequest request = attempt.activeRequest;
 		boolean awaitingResponse = attempt.activeRequest.attempt == attempt && !request.isCommitted();
@@ -222,127 +211,4 @@
 		}
 	}
 
-	/**
-	 * Handles the first event of a server that continues a generation.
-	 * @param successor the attempt on that server
-	 */
-	void onSuccessorEvent(ServerAttempt successor) {
-		this.migrator.onSuccessorStarted(successor);
-	}
-
-	/**
-	 * Handles a complete response that is not a stream.
-	 * @param attempt the attempt that received the response
-	 */
-	void onResponseComplete(ServerAttempt attempt) {
-		ActiveRequest request = attempt.activeRequest;
-		this.activeRequests.detachAttempt(attempt);
-		int status = attempt.response().getResponseCode();
-		if (status >= LOWEST_SERVER_ERROR_STATUS) {
-			attempt.server.recordServerError(this.context.scheduler.nowMillis());
-			if (!request.isCommitted() && tryAcquireRetry(request)) {
-				this.activeRequests.logAttemptDecision(request, "server error, repeated elsewhere", attempt,
-						String.valueOf(status));
-				dispatch(request);
-				return;
-			}
-		}
-		else {
-			attempt.server.recordSuccess(this.context.scheduler.nowMillis());
-			responseTimes(request).record(this.context.scheduler.nowMillis() - attempt.startedMillis);
-		}
-		long latencyMillis = this.context.scheduler.nowMillis() - request.arrivedMillis;
-		this.context.metrics.recordLatency(request.route.name(), latencyMillis);
-		this.context.log.logRoutineRequest(this.context.scheduler.nowMillis(), request.id(), "answered",
-				Map.of("server", attempt.server.registration.id(), "route", request.route.name(), "status", status,
-						"millis", latencyMillis));
-		this.activeRequests.finish(request, (status >= LOWEST_SERVER_ERROR_STATUS) ? "server-error" : "completed");
-		if (request.isCommitted()) {
-			request.responseWriter.end();
-		}
-		else {
-			request.responseWriter.sendComplete(status, attempt.responseHeaders(), attempt.bufferedBody());
-		}
-	}
-
-	/**
-	 * Handles a response that states that the server did not execute the request.
-	 * @param attempt the attempt
-	 * @param status status code of the response
-	 */
-	void onNotExecuted(ServerAttempt attempt, int status) {
-		ActiveRequest request = attempt.activeRequest;
-		boolean successor = attempt.isSuccessor();
-		this.activeRequests.detachAttempt(attempt);
-		request.possibleExecutions--;
-		this.activeRequests.logAttemptDecision(request, "server refused", attempt, String.valueOf(status));
-		if (successor) {
-			this.migrator.onSuccessorFailed(attempt);
-			return;
-		}
-		if (!this.migrator.endIfResumeRejected(attempt)) {
-			retryOrEnd(request, "server refused", () -> this.retryBudgets.tryAcquireRetry(request.service.name()));
-		}
-	}
-
-	/**
-	 * Handles an attempt that failed or was interrupted.
-	 * @param attempt the attempt
-	 * @param deliveryStatus whether the request may have reached the server
-	 * @param reason cause of the failure to log
-	 */
-	void onAttemptFailed(ServerAttempt attempt, DeliveryStatus deliveryStatus, String reason) {
-		ActiveRequest request = attempt.activeRequest;
-		boolean successor = attempt.isSuccessor();
-		this.activeRequests.detachAttempt(attempt);
-		attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
-		if (request.finished) {
-			return;
-		}
-		this.activeRequests.logAttemptDecision(request, "attempt failed", attempt, deliveryStatus + ": " + reason);
-		if (attempt.isLostAtStart()) {
-			this.promptQuarantine.reportCrash(attempt);
-		}
-		if (request.finished) {
-			return;
-		}
-		boolean notSent = deliveryStatus == DeliveryStatus.NOT_SENT;
-		if (notSent && reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON)) {
-			this.reachability.recordConnectTimeout(attempt.server.registration.dataCentre(),
-					this.context.scheduler.nowMillis());
-		}
-		if (successor) {
-			this.migrator.onSuccessorFailed(attempt);
-			return;
-		}
-		if (this.migrator.takeOverFailedSource(attempt)) {
-			return;
-		}
-		if (request.possibleExecutions == 0 && request.isAuthenticated() && !isKeyValid(request)) {
-			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
-					"API key invalid or not verifiable with a stale configuration");
-		}
-		else if (attempt.isLostAtStart() && this.promptQuarantine.isSuspect(request)) {
-			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(), reason);
-		}
-		else {
-			retryOrEnd(request, reason, () -> notSent || this.retryBudgets.tryAcquireRetry(request.service.name()));
-		}
-	}
-
-	private void retryOrEnd(ActiveRequest request, String reason, BooleanSupplier budget) {
-		RetryDecision decision = request.toRetryContext().decide(budget);
-		if (decision == RetryDecision.RETRY) {
-			dispatch(request);
-		}
-		else {
-			this.activeRequests.end(request, decision, reason);
-		}
-	}
-
-	private boolean tryAcquireRetry(ActiveRequest request) {
-		return request.toRetryContext()
-			.decide(() -> this.retryBudgets.tryAcquireRetry(request.service.name())) == RetryDecision.RETRY;
-	}
-
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -174,30 +174,31 @@
 		ResponseHead responseHead = this.context.serverProtocol.decodeResponseHeaders(status,
 				received.getResponseHeaders());
 		if (responseHead.requestId().isPresent() && !responseHead.requestId().get().equals(this.activeRequest.id())) {
-			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
-					"response carries the id of another request"));
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "response carries the id of another request"));
 			return;
 		}
 		if (responseHead.notExecuted() || status == MISDIRECTED_REQUEST) {
-			cancelAndReport(() -> this.dispatcher.onNotExecuted(this, status));
+			cancelAndReport(() -> this.dispatcher.outcomes().onNotExecuted(this, status));
 			return;
 		}
 		boolean success = status / 100 == 2;
 		if (success && (!responseHead.signed() || received.getResponseHeaders().contains(Headers.CONTENT_ENCODING))) {
-			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
-					"response is unsigned or has a content encoding"));
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "response is unsigned or has a content encoding"));
 			return;
 		}
 		this.streaming = status == OK && this.activeRequest.route.semantics().isStreaming();
 		if (this.activeRequest.isCommitted() && !this.streaming) {
 			// The caller has received part of a stream, which only a stream can complete.
-			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
-					"status " + status + " while resuming a stream that the caller has partly received"));
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
+						"status " + status + " while resuming a stream that the caller has partly received"));
 			return;
 		}
 		if (isSuccessor() && !this.streaming) {
-			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
-					"status " + status + " while resuming a generation"));
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "status " + status + " while resuming a generation"));
 		}
 	}
 
@@ -223,8 +224,8 @@
 			}
 		});
 		if (!withinSizeLimit) {
-			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
-					"event exceeds the maximum size"));
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "event exceeds the maximum size"));
 		}
 		return continueReading[0];
 	}
@@ -232,12 +233,12 @@
 	private boolean onEvent(SseEvent event) {
 		this.receivedEvents++;
 		if (isSuccessor()) {
-			this.dispatcher.onSuccessorEvent(this);
+			this.dispatcher.outcomes().onSuccessorEvent(this);
 		}
 		EventSequenceTracker.Disposition disposition = this.activeRequest.eventOrder.classify(event);
 		if (disposition == EventSequenceTracker.Disposition.GAP) {
-			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
-					"missing event before event " + event.id().orElse("")));
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "missing event before event " + event.id().orElse("")));
 			return true;
 		}
 		if (disposition == EventSequenceTracker.Disposition.DUPLICATE) {
@@ -255,8 +256,9 @@
 		this.bufferedBody.writeBytes(part);
 		if (this.bufferedBody.size() > MAXIMUM_BUFFERED_BYTES
 				&& this.response.getResponseCode() >= LOWEST_ERROR_STATUS) {
-			cancelAndReport(() -> this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
-					"error response exceeds the maximum of " + MAXIMUM_BUFFERED_BYTES + " bytes"));
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
+						"error response exceeds the maximum of " + MAXIMUM_BUFFERED_BYTES + " bytes"));
 			return true;
 		}
 		if (this.bufferedBody.size() > MAXIMUM_BUFFERED_BYTES) {
@@ -274,17 +276,17 @@
 		cancelResponseTimer();
 		this.detached = true;
 		if (!this.streaming) {
-			this.dispatcher.onResponseComplete(this);
+			this.dispatcher.outcomes().onResponseComplete(this);
 			return;
 		}
 		Optional<String> truncation = describeTruncation();
 		if (truncation.isPresent()) {
 			this.brokenOff = true;
-			this.dispatcher.onAttemptFailed(this, DeliveryStatus.UNKNOWN, truncation.get());
+			this.dispatcher.outcomes().onAttemptFailed(this, DeliveryStatus.UNKNOWN, truncation.get());
 			return;
 		}
 		if (isSuccessor()) {
-			this.dispatcher.onSuccessorEvent(this);
+			this.dispatcher.outcomes().onSuccessorEvent(this);
 		}
 		this.dispatcher.streamRelay().completeStream(this, this.splitter.bytesAfterLastEvent());
 	}
@@ -312,7 +314,7 @@
 		this.detached = true;
 		this.brokenOff = hasResponse();
 		cancelResponseTimer();
-		this.dispatcher.onAttemptFailed(this, this.sent ? deliveryStatus : DeliveryStatus.NOT_SENT, reason);
+		this.dispatcher.outcomes().onAttemptFailed(this, this.sent ? deliveryStatus : DeliveryStatus.NOT_SENT, reason);
 	}
 
 	private void cancelResponseTimer() {
