--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -134,7 +134,8 @@
 		if (attempt.isLostAtStart()) {
 			this.promptQuarantine.reportCrash(attempt);
 		}
-		if (request.finished) {
+		boolean endedByQuarantine = request.finished;
+		if (endedByQuarantine) {
 			return;
 		}
 		boolean notSent = deliveryStatus == DeliveryStatus.NOT_SENT;
