--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/WireFormatTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/WireFormatTests.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.skylarkspring.gateway.model.PromptCrash;
+
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
@@ -46,6 +48,16 @@
 
 	}
 
+	@Nested
+	class CrashReports {
+
+		@Test
+		void crashReportInStoreIsReadAndWrittenUnchanged() throws IOException {
+			assertReadAndWrittenUnchanged("prompt-crash", PromptCrash.class);
+		}
+
+	}
+
 	@Nested
 	class RelayRequests {
 
