--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
@@ -132,11 +132,10 @@
 	@Override
 	public void onListed(List<StoredObject> all, boolean afterOutage) {
 		Set<String> listed = all.stream().map(StoredObject::name).collect(Collectors.toSet());
-		this.table.retainListed(listed, this.context.scheduler.nowMillis())
+		this.table.names()
 			.stream()
-			.filter((crash) -> this.context.settings.instanceId().equals(crash.instanceId()))
-			.filter((crash) -> !this.unwritten.contains(crash.name()))
-			.forEach(this::write);
+			.filter((name) -> !listed.contains(name) && !this.unwritten.contains(name))
+			.forEach(this.table::remove);
 		all.forEach(this::addStored);
 		applyQuarantines();
 	}
@@ -157,19 +156,24 @@
 	}
 
 	private Optional<PromptCrash> decode(StoredObject object) {
-		Optional<PromptCrash> crash = Optional.empty();
 		try {
-			crash = Optional.ofNullable(this.gson.fromJson(object.content(), PromptCrash.class))
+			Optional<PromptCrash> crash = Optional.ofNullable(this.gson.fromJson(object.content(), PromptCrash.class))
 				.filter(PromptCrash::hasRequiredFields)
 				.filter((decoded) -> decoded.name().equals(object.name()));
+			if (crash.isEmpty()) {
+				logInvalid(object, "fields missing or not those of the name");
+			}
+			return crash;
 		}
 		catch (JsonParseException ex) {
-			this.context.log.logStateChange("cannot parse crash report", Map.of("reason", String.valueOf(ex)));
-		}
-		if (crash.isEmpty()) {
-			this.context.log.logStateChange("invalid crash report ignored", Map.of("name", object.name()));
+			logInvalid(object, String.valueOf(ex));
+			return Optional.empty();
 		}
-		return crash;
+	}
+
+	private void logInvalid(StoredObject object, String reason) {
+		this.context.log.logStateChange("invalid crash report ignored",
+				Map.of("name", object.name(), "reason", reason));
 	}
 
 	private boolean add(PromptCrash crash) {
@@ -193,7 +197,7 @@
 	}
 
 	private void retryWrite(PromptCrash crash) {
-		if (this.table.contains(crash.name())) {
+		if (this.table.names().contains(crash.name())) {
 			write(crash);
 		}
 		else {
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/PromptCrashTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/PromptCrashTable.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 import org.skylarkspring.gateway.model.PromptCrash;
@@ -43,9 +42,6 @@
 	 */
 	static final long SUCCESS_MEMORY_MILLIS = 10_000;
 
-	/** Age of the oldest write that a store restored from a copy may have lost. */
-	static final long MAXIMUM_STORE_LOSS_MILLIS = 30_000;
-
 	private static final int MAXIMUM_REMEMBERED_SUCCESSES = 4_096;
 
 	private static final int MAXIMUM_CRASHES = 1_000;
@@ -108,7 +104,7 @@
 	 * @return {@code true} if the table is full
 	 */
 	public boolean isFull() {
-		return tracked().count() >= MAXIMUM_CRASHES;
+		return this.crashesByPart.values().stream().mapToInt(Map::size).sum() >= MAXIMUM_CRASHES;
 	}
 
 	/**
@@ -121,31 +117,13 @@
 	}
 
 	/**
-	 * Returns whether the table contains a report.
-	 * @param name name of the report
-	 * @return {@code true} if it does
+	 * Returns the names of all reports.
+	 * @return the names
 	 */
-	public boolean contains(String name) {
-		return this.crashesByPart.values().stream().anyMatch((crashes) -> crashes.containsKey(name));
-	}
-
-	/**
-	 * Removes the reports that the store no longer lists. Recent ones stay, because a
-	 * store that was restored from a copy has lost them.
-	 * @param listedNames names of the reports in the store
-	 * @param nowMillis current time in milliseconds
-	 * @return the reports that stay although the store does not list them
-	 */
-	public List<PromptCrash> retainListed(Set<String> listedNames, long nowMillis) {
-		List<TrackedCrash> missing = tracked().filter((tracked) -> !listedNames.contains(tracked.crash.name()))
-			.toList();
-		Predicate<TrackedCrash> recent = (tracked) -> nowMillis - tracked.addedMillis < MAXIMUM_STORE_LOSS_MILLIS;
-		missing.stream().filter(recent.negate()).forEach((tracked) -> remove(tracked.crash.name()));
-		return missing.stream().filter(recent).map(TrackedCrash::crash).toList();
-	}
-
-	private Stream<TrackedCrash> tracked() {
-		return this.crashesByPart.values().stream().flatMap((crashes) -> crashes.values().stream());
+	public Set<String> names() {
+		Set<String> names = new HashSet<>();
+		this.crashesByPart.values().forEach((crashes) -> names.addAll(crashes.keySet()));
+		return names;
 	}
 
 	/**
@@ -249,7 +227,9 @@
 	 * @return the removed reports
 	 */
 	public List<PromptCrash> removeExpired(long nowMillis) {
-		List<PromptCrash> expired = tracked()
+		List<PromptCrash> expired = this.crashesByPart.values()
+			.stream()
+			.flatMap((crashes) -> crashes.values().stream())
 			.filter((tracked) -> nowMillis - tracked.addedMillis >= this.retentionMillis)
 			.map(TrackedCrash::crash)
 			.toList();
