Read and log the request rate limits that servers name

Responses are now decoded into NamedRateLimit; RateLimitKnowledge keeps the latest observation of a server; a change is logged ('server rate limit changed' with the rate, its source and age) and counted, a text that is no usable number is ignored, logged and counted; gateway_servers_limited shows how many servers name one. Nothing is decided by it yet.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
@@ -61,6 +61,11 @@
 		.help("Backend servers that may get requests")
 		.register(this.registry);
 
+	private final Gauge limitedServers = Gauge.builder()
+		.name("gateway_servers_limited")
+		.help("Backend servers that name a limit of their request rate")
+		.register(this.registry);
+
 	private final Gauge quarantinedPromptParts = Gauge.builder()
 		.name("gateway_quarantined_prompt_parts")
 		.help("Parts of prompts that are not sent to servers because servers crashed on them")
@@ -76,6 +81,10 @@
 		this.configurationAgeSeconds.set(configurationAgeMillis / MILLIS_PER_SECOND);
 	}
 
+	void setLimitedServers(long count) {
+		this.limitedServers.set(count);
+	}
+
 	void recordOutcome(String route, String outcome) {
 		this.requestsTotal.labelValues(route, outcome).inc();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -142,7 +142,7 @@
 		this.promptQuarantine = new PromptQuarantine(this.context, this.store, this.activeRequests);
 		this.dispatcher = new RequestDispatcher(this.context, this.configuration, this.serverSelector,
 				new RetryBudgets(settings, this.context.scheduler, this.peers), this.reachability, this.activeRequests,
-				this.promptQuarantine);
+				this.promptQuarantine, new ServerRateLimits(this.context));
 		this.migrator = new GenerationMigrator(this.context, this.dispatcher, this.activeRequests, this.serverSelector);
 		this.dispatcher.setMigrator(this.migrator);
 		this.activeRequests.setEndListener(this.migrator::onRequestEnded);
@@ -243,6 +243,10 @@
 		this.promptQuarantine.tick();
 		this.context.metrics.recordState(this.servers.all().stream().filter(ServerEntry::acceptsRequests).count(),
 				this.configuration.ageMillis());
+		this.context.metrics.setLimitedServers(this.servers.all()
+			.stream()
+			.filter((entry) -> entry.rateLimit.requestsPerSecond(now).isPresent())
+			.count());
 	}
 
 	private void onServerTerminating(ServerEntry entry) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -35,13 +35,15 @@
 
 	private final AttemptOutcomeHandler outcomes;
 
+	private final ServerRateLimits serverRateLimits;
+
 	private GenerationMigrator migrator;
 
 	private Consumer<Runnable> peerLoadRefresher = Runnable::run;
 
 	RequestDispatcher(GatewayContext context, ConfigurationPoller configuration, ServerSelector serverSelector,
 			RetryBudgets retryBudgets, DataCentreReachabilityTracker reachability, ActiveRequestRegistry activeRequests,
-			PromptQuarantine promptQuarantine) {
+			PromptQuarantine promptQuarantine, ServerRateLimits serverRateLimits) {
 		this.context = context;
 		this.configuration = configuration;
 		this.serverSelector = serverSelector;
@@ -49,6 +51,7 @@
 		this.reachability = reachability;
 		this.activeRequests = activeRequests;
 		this.promptQuarantine = promptQuarantine;
+		this.serverRateLimits = serverRateLimits;
 		this.streamRelay = new StreamRelay(context, activeRequests, promptQuarantine);
 		this.attemptSender = new AttemptSender(context, serverSelector);
 		this.outcomes = new AttemptOutcomeHandler(context, configuration, retryBudgets, reachability, activeRequests,
@@ -64,6 +67,10 @@
 		return this.outcomes;
 	}
 
+	ServerRateLimits serverRateLimits() {
+		return this.serverRateLimits;
+	}
+
 	StreamRelay streamRelay() {
 		return this.streamRelay;
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -178,6 +178,9 @@
 				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "response carries the id of another request"));
 			return;
 		}
+		if (status != MISDIRECTED_REQUEST) {
+			this.dispatcher.serverRateLimits().recordResponse(this.server, responseHead.rateLimit());
+		}
 		if (responseHead.notExecuted() || status == MISDIRECTED_REQUEST) {
 			cancelAndReport(() -> this.dispatcher.outcomes().onNotExecuted(this, status));
 			return;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
@@ -5,6 +5,7 @@
 
 import org.skylarkspring.gateway.model.ServerRegistration;
 import org.skylarkspring.gateway.policy.ColdServerRateLimiter;
+import org.skylarkspring.gateway.policy.RateLimitKnowledge;
 
 /**
  * Entry of a backend server in the server table: its registration, the load placed on it
@@ -32,6 +33,8 @@
 
 	final ColdServerRateLimiter coldRateLimiter = new ColdServerRateLimiter();
 
+	final RateLimitKnowledge rateLimit = new RateLimitKnowledge();
+
 	final Set<ServerAttempt> attempts = new LinkedHashSet<>();
 
 	ServerRegistration registration;
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/ResponseHead.java
@@ -11,6 +11,8 @@
  * not run it
  * @param signed whether the response carries a signature of the server
  * @param load load reported by the server
+ * @param rateLimit what the response says about the request rate that the server accepts
  */
-public record ResponseHead(Optional<String> requestId, boolean notExecuted, boolean signed, Optional<LoadSample> load) {
+public record ResponseHead(Optional<String> requestId, boolean notExecuted, boolean signed, Optional<LoadSample> load,
+		NamedRateLimit rateLimit) {
 }
