Divide the request rate that a server names between all instances

Callers and servers saw: a server that named 3.6 requests a second went on getting 10, from whichever instances had work for it (LIMIT, 35 requests in 4 s where 27 were allowed).

Cause: the header was not read; no decision knew of it. Class: a limit on a sum over all instances that is not divided between them. Two of the kind existed (cold servers, retries), each with its own mechanism; the one of cold servers now serves both: SharedRateLimiter (was ColdServerRateLimiter) takes this instance's equal share, PeerTable selects who shares where the instances are too many. The latest observation spreads with the load reports, at once when it changes; a report without it is read as before. ServerSelector takes the permit for each send: first ones, repeats and continuations. Without a permit on any server the caller is refused at once with the time until the next one.

Ruled out from the hypotheses: repeats (4 of 70 sends) and a limit of each instance by itself, which the tests now cover.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -76,6 +76,8 @@
 
 	private final PeerTable peers;
 
+	private final ServerRateLimits serverRateLimits;
+
 	private final DataCentreReachabilityTracker reachability = new DataCentreReachabilityTracker();
 
 	private final ServerSelector serverSelector;
@@ -128,7 +130,10 @@
 		this.peers = new PeerTable(new ClusterMember(settings.instanceId(), settings.dataCentre(), settings.cores()),
 				settings.coldBurstAllowance());
 		this.servers = new ServerTable(this::onServerTerminating);
-		this.peerLoadSynchronizer = new PeerLoadSynchronizer(this.context, this.peers, this.servers);
+		this.serverRateLimits = new ServerRateLimits(this.context, this.servers, this.peers);
+		this.peerLoadSynchronizer = new PeerLoadSynchronizer(this.context, this.peers, this.servers,
+				this.serverRateLimits);
+		this.serverRateLimits.setChangeListener(this.peerLoadSynchronizer::scheduleReport);
 		this.relayedStore = new RelayedObjectStore(this.store,
 				new HttpRelayClient(this.context.client, this.context.log), this.context.scheduler, this.context.log,
 				this.peers, this.peerLoadSynchronizer::createOwnReport);
@@ -136,13 +141,13 @@
 				this.context.scheduler, this.context.log, settings.revocationMillis());
 		this.storeRelay = new StoreRelayHandler(settings.instanceId(), this.context.scheduler, this.context.log,
 				this.configuration, this.peerLoadSynchronizer::applyReport);
-		this.serverSelector = new ServerSelector(this.context, this.servers, this.peers, this.reachability,
-				PlacementCostFunctions.leastLoaded());
+		this.serverSelector = new ServerSelector(this.context, this.servers, this.peers, this.serverRateLimits,
+				this.reachability, PlacementCostFunctions.leastLoaded());
 		this.activeRequests = new ActiveRequestRegistry(this.context, this.configuration);
 		this.promptQuarantine = new PromptQuarantine(this.context, this.store, this.activeRequests);
 		this.dispatcher = new RequestDispatcher(this.context, this.configuration, this.serverSelector,
 				new RetryBudgets(settings, this.context.scheduler, this.peers), this.reachability, this.activeRequests,
-				this.promptQuarantine, new ServerRateLimits(this.context));
+				this.promptQuarantine, this.serverRateLimits);
 		this.migrator = new GenerationMigrator(this.context, this.dispatcher, this.activeRequests, this.serverSelector);
 		this.dispatcher.setMigrator(this.migrator);
 		this.activeRequests.setEndListener(this.migrator::onRequestEnded);
@@ -243,10 +248,8 @@
 		this.promptQuarantine.tick();
 		this.context.metrics.recordState(this.servers.all().stream().filter(ServerEntry::acceptsRequests).count(),
 				this.configuration.ageMillis());
-		this.context.metrics.setLimitedServers(this.servers.all()
-			.stream()
-			.filter((entry) -> entry.rateLimit.requestsPerSecond(now).isPresent())
-			.count());
+		this.context.metrics
+			.setLimitedServers(this.servers.all().stream().filter(this.serverRateLimits::isLimited).count());
 	}
 
 	private void onServerTerminating(ServerEntry entry) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadReport.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadReport.java
@@ -13,11 +13,23 @@
  * those of other instances
  * @param loads load placed on each server
  * @param draining incarnations of the servers that are listed as draining
+ * @param rateLimits request rates that servers accept from all instances together,
+ * {@code null} in reports of earlier versions
  */
-record PeerLoadReport(String instanceId, boolean relay, List<ServerLoad> loads, List<ServerIncarnation> draining) {
+record PeerLoadReport(String instanceId, boolean relay, List<ServerLoad> loads, List<ServerIncarnation> draining,
+		List<RateLimit> rateLimits) {
+
+	PeerLoadReport(String instanceId, boolean relay, List<ServerLoad> loads, List<ServerIncarnation> draining) {
+		this(instanceId, relay, loads, draining, null);
+	}
+
+	List<RateLimit> knownRateLimits() {
+		return (this.rateLimits != null) ? this.rateLimits : List.of();
+	}
 
 	boolean hasRequiredFields() {
-		return this.instanceId != null && this.loads != null && this.draining != null;
+		return this.instanceId != null && this.loads != null && this.draining != null
+				&& knownRateLimits().stream().allMatch((limit) -> limit.incarnation() != null);
 	}
 
 	/**
@@ -38,4 +50,14 @@
 
 	}
 
+	/**
+	 * Request rate that a server accepts from all instances together.
+	 *
+	 * @param incarnation the server
+	 * @param requestsPerSecond the rate, 0 if the server names no limit any more
+	 * @param ageMillis time since the response that said so, in milliseconds
+	 */
+	record RateLimit(ServerIncarnation incarnation, double requestsPerSecond, long ageMillis) {
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadSynchronizer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadSynchronizer.java
@@ -61,14 +61,17 @@
 
 	private final PeerRequestBodies bodies;
 
+	private final ServerRateLimits rateLimits;
+
 	private boolean reportScheduled;
 
 	private Scheduler.Timer nextReportTimer;
 
-	PeerLoadSynchronizer(GatewayContext context, PeerTable peers, ServerTable servers) {
+	PeerLoadSynchronizer(GatewayContext context, PeerTable peers, ServerTable servers, ServerRateLimits rateLimits) {
 		this.context = context;
 		this.peers = peers;
 		this.servers = servers;
+		this.rateLimits = rateLimits;
 		this.bodies = new PeerRequestBodies(context.scheduler, context.log);
 	}
 
@@ -151,7 +154,8 @@
 	void applyReport(PeerLoadReport report) {
 		long now = this.context.scheduler.nowMillis();
 		report.draining().forEach(this.servers::markTerminating);
-		boolean changed = this.peers.recordReport(report, now);
+		boolean changed = this.peers.recordReport(report, now)
+				| this.rateLimits.applyReported(report.knownRateLimits());
 		this.peers.applyLoadsTo(this.servers, now);
 		if (changed && !report.relay()) {
 			scheduleReport();
@@ -228,6 +232,7 @@
 			return;
 		}
 		report.get().draining().forEach(this.servers::markTerminating);
+		this.rateLimits.applyReported(report.get().knownRateLimits());
 		this.peers.recordRelayReport(report.get(), now);
 		this.peers.applyLoadsTo(this.servers, now);
 	}
@@ -242,7 +247,7 @@
 
 	private PeerLoadReport createReport(boolean relay, Stream<PeerLoadReport.ServerLoad> loads) {
 		return new PeerLoadReport(this.context.settings.instanceId(), relay, PeerTable.sumByServer(loads),
-				this.servers.drainingIncarnations());
+				this.servers.drainingIncarnations(), this.rateLimits.toReport());
 	}
 
 	private HttpTextRequest createRequest(PeerLoadReport report) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
@@ -203,7 +203,19 @@
 	 * them
 	 */
 	int coldServerSharerCount(String serverId, double requestsPerSecond) {
-		int maximumSharers = (int) Math.max(1, requestsPerSecond / 2 + this.coldBurstAllowance);
+		return sharingInstanceCount(serverId, requestsPerSecond / 2 + this.coldBurstAllowance);
+	}
+
+	/**
+	 * Returns how many instances share a server that accepts a limited rate, if this
+	 * instance is one of them. All instances select the same ones.
+	 * @param serverId id of the server
+	 * @param maximum maximum number of instances that may share it
+	 * @return number of instances that share the server, 0 if this instance is not one of
+	 * them
+	 */
+	int sharingInstanceCount(String serverId, double maximum) {
+		int maximumSharers = (int) Math.max(1, maximum);
 		if (instanceCount() <= maximumSharers) {
 			return instanceCount();
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -1,11 +1,13 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.model.GenerationResumePoint;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
+import org.skylarkspring.gateway.policy.RetryDecision;
 
 /**
  * Dispatches requests to servers: selects a server, sends the request to it and to
@@ -134,12 +136,24 @@
 			server = this.serverSelector.selectServer(request.service, request.reservedTokens, Set.of());
 		}
 		if (server.isEmpty()) {
-			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(), "no eligible server");
+			endWithoutServer(request);
 			return;
 		}
 		send(request, server.get(), Optional.empty());
 	}
 
+	private void endWithoutServer(ActiveRequest request) {
+		RetryDecision decision = request.toRetryContext().decideWithoutRetry();
+		OptionalLong millisUntilPermit = this.serverSelector.millisUntilPermit(request.service);
+		if (millisUntilPermit.isPresent()) {
+			this.activeRequests.end(request, decision, "servers accept a limited rate of requests",
+					millisUntilPermit.getAsLong());
+		}
+		else {
+			this.activeRequests.end(request, decision, "no eligible server");
+		}
+	}
+
 	/**
 	 * Sends a request to a server.
 	 * @param request the request
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 import org.skylarkspring.gateway.model.ServerRegistration;
-import org.skylarkspring.gateway.policy.ColdServerRateLimiter;
 import org.skylarkspring.gateway.policy.RateLimitKnowledge;
+import org.skylarkspring.gateway.policy.SharedRateLimiter;
 
 /**
  * Entry of a backend server in the server table: its registration, the load placed on it
@@ -31,7 +31,17 @@
 	 */
 	private static final int MAXIMUM_EJECTION_DOUBLINGS = 3;
 
-	final ColdServerRateLimiter coldRateLimiter = new ColdServerRateLimiter();
+	/**
+	 * Cold servers accept 1.5 times their rate plus a fixed allowance in any second.
+	 */
+	private static final double COLD_BURST_SECONDS = 0.5;
+
+	/** Servers that name a limit accept half of their rate in addition over seconds. */
+	private static final double NAMED_LIMIT_BURST_SECONDS = 1;
+
+	final SharedRateLimiter coldRateLimiter = new SharedRateLimiter(COLD_BURST_SECONDS);
+
+	final SharedRateLimiter namedRateLimiter = new SharedRateLimiter(NAMED_LIMIT_BURST_SECONDS);
 
 	final RateLimitKnowledge rateLimit = new RateLimitKnowledge();
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
@@ -39,6 +40,8 @@
 
 	private final PeerTable peers;
 
+	private final ServerRateLimits rateLimits;
+
 	private final PlacementCostFunction placementCost;
 
 	private final GatewayContext context;
@@ -47,11 +50,12 @@
 
 	private Set<String> evacuatedDataCentres = Set.of();
 
-	ServerSelector(GatewayContext context, ServerTable serverTable, PeerTable peers,
+	ServerSelector(GatewayContext context, ServerTable serverTable, PeerTable peers, ServerRateLimits rateLimits,
 			DataCentreReachabilityTracker reachability, PlacementCostFunction placementCost) {
 		this.context = context;
 		this.serverTable = serverTable;
 		this.peers = peers;
+		this.rateLimits = rateLimits;
 		this.reachability = reachability;
 		this.placementCost = placementCost;
 	}
@@ -65,8 +69,9 @@
 	}
 
 	/**
-	 * Selects a server for a request. If the server is cold, a permit is taken from this
-	 * instance's share of its rate limit, which applies to all instances together.
+	 * Selects a server for a request. If the server is cold or names a rate limit, a
+	 * permit is taken from this instance's share of the rate, which applies to all
+	 * instances together.
 	 * @param service service of the request
 	 * @param tokens amount of KV cache memory that the request needs, in tokens
 	 * @param excluded ids of the servers already tried
@@ -75,7 +80,20 @@
 	Optional<ServerEntry> selectServer(ServiceSpec service, long tokens, Set<String> excluded) {
 		long now = this.context.scheduler.nowMillis();
 		List<ServerEntry> ranked = rankServers(service, tokens, (entry) -> !excluded.contains(entry.registration.id()));
-		return ranked.stream().filter((entry) -> tryAcquireColdPermit(service, entry, now)).findFirst();
+		return ranked.stream().filter((entry) -> tryAcquirePermits(service, entry, now)).findFirst();
+	}
+
+	/**
+	 * Returns the time until a server that accepts requests at a limited rate may accept
+	 * the next one.
+	 * @param service service of the request
+	 * @return the time in milliseconds, empty if no server of the service names a limit
+	 * or one has a permit left
+	 */
+	OptionalLong millisUntilPermit(ServiceSpec service) {
+		return eligibleServers(service, this.rateLimits::isLimited).mapToLong(this.rateLimits::millisUntilPermit)
+			.filter((millis) -> millis > 0)
+			.min();
 	}
 
 	/**
@@ -94,7 +112,7 @@
 			.map((entry) -> new RankedServer(entry, migrationTargetCost(service, entry, tokens, source, now)))
 			.sorted(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server)
-			.filter((entry) -> tryAcquireColdPermit(service, entry, now))
+			.filter((entry) -> tryAcquirePermits(service, entry, now))
 			.findFirst();
 	}
 
@@ -111,6 +129,7 @@
 		long capacity = service.engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
 		return eligibleServers(service, (entry) -> entry != source)
 			.filter((entry) -> !entry.isEjected(now) && now >= entry.coldUntilMillis)
+			.filter((entry) -> !this.rateLimits.isLimited(entry))
 			.filter((entry) -> entry.reservedTokens + entry.peerReservedTokens + tokens <= MAXIMUM_BACKUP_UTILIZATION
 					* capacity)
 			.map((entry) -> new RankedServer(entry, migrationTargetCost(service, entry, tokens, source, now)))
@@ -120,17 +139,18 @@
 
 	/**
 	 * Returns whether a server that was selected earlier may receive a generation now. If
-	 * the server has become cold, a permit is taken as for a request.
+	 * the server has become cold or names a rate limit, a permit is taken as for a
+	 * request.
 	 * @param service service of the generation
 	 * @param entry the server
 	 * @return {@code false} if it terminates, has restarted, failed recently, is
-	 * evacuated, or is cold and has no permit left
+	 * evacuated, or has no permit left
 	 */
 	boolean tryUseSelected(ServiceSpec service, ServerEntry entry) {
 		long now = this.context.scheduler.nowMillis();
 		boolean current = this.serverTable.find(entry.registration.id()).filter((found) -> found == entry).isPresent();
 		return current && entry.acceptsRequests() && !entry.isEjected(now)
-				&& !isEvacuated(entry.registration.dataCentre()) && tryAcquireColdPermit(service, entry, now);
+				&& !isEvacuated(entry.registration.dataCentre()) && tryAcquirePermits(service, entry, now);
 	}
 
 	// Many instances select targets at the same moment from the same data; the random
@@ -160,6 +180,11 @@
 			.filter(allowed);
 	}
 
+	private boolean tryAcquirePermits(ServiceSpec service, ServerEntry entry, long now) {
+		return this.rateLimits.millisUntilPermit(entry) == 0 && tryAcquireColdPermit(service, entry, now)
+				&& this.rateLimits.tryAcquire(entry);
+	}
+
 	private boolean tryAcquireColdPermit(ServiceSpec service, ServerEntry entry, long now) {
 		boolean cold = now < entry.coldUntilMillis && service.coldRequestsPerSecond() > 0;
 		if (!cold) {
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/PeerTableTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/PeerTableTests.java
@@ -55,6 +55,15 @@
 			assertThat(sharers.size() + (double) rate, lessThanOrEqualTo(rate * 1.5 + 5));
 		}
 
+		@Test
+		void serverThatNamesSmallLimitIsSharedByFewOfManyInstances() {
+			List<Integer> sharers = IntStream.range(0, 300)
+				.mapToObj((self) -> table(self, 300).sharingInstanceCount("s1", 5.5))
+				.toList();
+			assertThat(sharers.stream().filter((count) -> count == 5).count(), is(5L));
+			assertThat(sharers.stream().filter((count) -> count == 0).count(), is(295L));
+		}
+
 		@Test
 		void coldServerIsSharedByAllInstancesWhenThereAreFew() {
 			assertThat(table(3, 7).coldServerSharerCount("s1", 37), is(7));
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/WireFormatTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/WireFormatTests.java
@@ -46,6 +46,11 @@
 			assertReadAndWrittenUnchanged("peer-load-report", PeerLoadReport.class);
 		}
 
+		@Test
+		void loadReportWithRateLimitsIsReadAndWrittenUnchanged() throws IOException {
+			assertReadAndWrittenUnchanged("peer-load-report-rate-limits", PeerLoadReport.class);
+		}
+
 	}
 
 	@Nested
