Give entries that the store lost time to be written again

Instances that were missing were dropped at once, so that the others took larger shares of what all of them share (retries, cold servers, named limits) and chose other relays; nobody wrote the lost entry again. An evacuation that was missing ended at once, although its operator only had to write it again.

Entries that a list lacks are now kept for 2.3 s after an outage or when the era has risen (ReappearanceGrace; servers had this already, but only after outages that this instance had noticed for 0.4 s). An instance that is not listed registers again. Followers learn of the era from their relay's lists.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -2,10 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Function;
 
 import io.undertow.Handlers;
@@ -98,8 +96,6 @@
 
 	private final CallerConnectionTracker connections = new CallerConnectionTracker();
 
-	private final Set<String> evacuatedDataCentres = new HashSet<>();
-
 	private Undertow httpServer;
 
 	private CallerTimeoutSystem callerTimeouts;
@@ -227,7 +223,8 @@
 	private void startReading() {
 		this.configuration.start();
 		startWatch(ObjectKind.SERVERS, SERVER_WATCH_TIMEOUT_MILLIS, new ServerListener());
-		startWatch(ObjectKind.EVACUATIONS, EVACUATION_WATCH_TIMEOUT_MILLIS, new EvacuationListener());
+		startWatch(ObjectKind.EVACUATIONS, EVACUATION_WATCH_TIMEOUT_MILLIS,
+				new EvacuationListener(this.context.scheduler, this.context.log, this.serverSelector));
 		startWatch(ObjectKind.PROMPT_CRASHES, PROMPT_CRASH_WATCH_TIMEOUT_MILLIS, this.promptQuarantine);
 	}
 
@@ -291,35 +288,4 @@
 
 	}
 
-	/**
-	 * Applies changes of the list of evacuated data centres.
-	 */
-	private final class EvacuationListener implements ObjectInformer.Listener {
-
-		@Override
-		public void onListed(List<StoredObject> all, boolean afterOutage) {
-			GatewayRuntime.this.evacuatedDataCentres.clear();
-			all.forEach((object) -> GatewayRuntime.this.evacuatedDataCentres.add(object.name()));
-			applyEvacuations();
-		}
-
-		@Override
-		public void onChanged(ObjectChange change) {
-			if (change.deleted()) {
-				GatewayRuntime.this.evacuatedDataCentres.remove(change.object().name());
-			}
-			else {
-				GatewayRuntime.this.evacuatedDataCentres.add(change.object().name());
-			}
-			applyEvacuations();
-		}
-
-		private void applyEvacuations() {
-			GatewayRuntime.this.serverSelector.setEvacuatedDataCentres(GatewayRuntime.this.evacuatedDataCentres);
-			GatewayRuntime.this.context.log.logStateChange("evacuated data centres updated",
-					Map.of("data-centres", String.join(",", GatewayRuntime.this.evacuatedDataCentres)));
-		}
-
-	}
-
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/InstanceRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/InstanceRegistry.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -38,6 +40,14 @@
 
 	private final PeerTable peers;
 
+	private final ReappearanceGrace grace;
+
+	/** Whether this instance wants to be registered. */
+	private boolean registered;
+
+	/** Whether the store has confirmed the registration. */
+	private boolean stored;
+
 	/** Task to run after the first list, {@code null} if there is none. */
 	private Runnable afterFirstList;
 
@@ -45,6 +55,7 @@
 		this.context = context;
 		this.store = store;
 		this.peers = peers;
+		this.grace = new ReappearanceGrace(context.scheduler, peers::remove);
 	}
 
 	/**
@@ -67,37 +78,55 @@
 
 	/** Registers this instance in the store and retries until the write succeeds. */
 	void register() {
+		this.registered = true;
+		write();
+	}
+
+	private void write() {
+		if (!this.registered) {
+			return;
+		}
 		GatewaySettings settings = this.context.settings;
 		JsonObject content = new JsonObject();
 		content.addProperty(PEER_ADDRESS_KEY, settings.peerAddress());
 		content.addProperty(DATA_CENTRE_KEY, settings.dataCentre());
 		content.addProperty(CORES_KEY, settings.cores());
 		this.store.write(ObjectKind.INSTANCES, settings.instanceId(), content.toString(), (result) -> {
-			if (!(result instanceof StoreResult.Written)) {
+			this.stored = result instanceof StoreResult.Written;
+			if (!this.stored) {
 				this.context.log.logStateChange(
 						"instance registration failed, retrying in " + WRITE_RETRY_DELAY_MILLIS + " ms",
 						Map.of("result", String.valueOf(result)));
-				this.context.scheduler.schedule(WRITE_RETRY_DELAY_MILLIS, this::register);
+				this.context.scheduler.schedule(WRITE_RETRY_DELAY_MILLIS, this::write);
 			}
 		});
 	}
 
 	/** Removes the object of this instance from the store. */
 	void deregister() {
+		this.registered = false;
 		this.store.remove(ObjectKind.INSTANCES, this.context.settings.instanceId(), (result) -> this.context.log
 			.logStateChange("instance deregistration finished", Map.of("result", result.getClass().getSimpleName())));
 	}
 
 	@Override
 	public void onListed(List<StoredObject> all, boolean afterOutage) {
-		this.peers.retainAll(all.stream().map(StoredObject::name).toList());
+		Set<String> listed = all.stream().map(StoredObject::name).collect(Collectors.toSet());
+		this.grace.onListed(this.peers.instanceIds(), listed, afterOutage);
 		all.forEach(this::updatePeer);
+		if (!listed.contains(this.context.settings.instanceId())) {
+			registerAgain();
+		}
 		runFirstListTask();
 	}
 
 	@Override
 	public void onChanged(ObjectChange change) {
-		if (change.deleted()) {
+		this.grace.onChanged(change.object().name());
+		if (change.deleted() && change.object().name().equals(this.context.settings.instanceId())) {
+			registerAgain();
+		}
+		else if (change.deleted()) {
 			this.peers.remove(change.object().name());
 		}
 		else {
@@ -105,6 +134,16 @@
 		}
 	}
 
+	// The store may have returned from a copy that lacks the object of this instance.
+	private void registerAgain() {
+		if (this.registered && this.stored) {
+			this.stored = false;
+			this.context.log.logStateChange("instance is not listed, registering again",
+					Map.of("instance", this.context.settings.instanceId()));
+			write();
+		}
+	}
+
 	private void updatePeer(StoredObject object) {
 		Optional<String> dataCentre = primitiveValue(object, DATA_CENTRE_KEY).map(JsonElement::getAsString);
 		double cores = primitiveValue(object, CORES_KEY).filter((value) -> value.getAsJsonPrimitive().isNumber())
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ObjectInformer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ObjectInformer.java
@@ -86,14 +86,20 @@
 	}
 
 	private void completeList(List<StoredObject> all, StoreRevision watchRevision) {
-		boolean afterOutage = this.failingSinceMillis >= 0
-				&& this.scheduler.nowMillis() - this.failingSinceMillis >= OUTAGE_THRESHOLD_MILLIS;
+		boolean newEra = !this.revision.equals(StoreRevision.NONE) && watchRevision.era() > this.revision.era();
+		boolean afterOutage = newEra || (this.failingSinceMillis >= 0
+				&& this.scheduler.nowMillis() - this.failingSinceMillis >= OUTAGE_THRESHOLD_MILLIS);
 		if (this.failingSinceMillis >= 0) {
 			this.log.logStateChange("store reachable again",
 					Map.of("kind", this.kind, "silent-millis", this.scheduler.nowMillis() - this.failingSinceMillis));
 		}
 		this.failingSinceMillis = -1;
 		this.revision = watchRevision;
+		if (newEra) {
+			this.log.logStateChange("store has returned from an older copy, entries may be missing",
+					Map.of("kind", this.kind, "era", watchRevision.era()));
+		}
+		applySafely(() -> this.listener.onEra(watchRevision.era()));
 		applySafely(() -> this.listener.onListed(List.copyOf(all), afterOutage));
 		watch();
 	}
@@ -161,7 +167,7 @@
 		 * Called when all objects have been listed.
 		 * @param all all objects of the kind
 		 * @param afterOutage whether entries may be missing only because they expired
-		 * while the store was unreachable
+		 * while the store was unreachable, or because it returned from a copy
 		 */
 		void onListed(List<StoredObject> all, boolean afterOutage);
 
@@ -171,6 +177,13 @@
 		 */
 		void onChanged(ObjectChange change);
 
+		/**
+		 * Called before {@link #onListed}.
+		 * @param era era of the store in which the objects were listed
+		 */
+		default void onEra(long era) {
+		}
+
 		/**
 		 * Called when the store becomes unreachable. {@link #onListed} follows once it is
 		 * reachable again.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
@@ -1,6 +1,5 @@
 package org.skylarkspring.gateway.internal;
 
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -70,9 +69,8 @@
 		this.relayIds = null;
 	}
 
-	void retainAll(Collection<String> instanceIds) {
-		this.peers.keySet().retainAll(instanceIds);
-		this.relayIds = null;
+	Set<String> instanceIds() {
+		return Set.copyOf(this.peers.keySet());
 	}
 
 	private Set<String> relayIds() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayResponse.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayResponse.java
@@ -29,11 +29,11 @@
 	}
 
 	/**
-	 * Returns the revision of the configuration.
+	 * Returns the revision with its era.
 	 * @param knownEra era to assume if the relay does not name it
 	 * @return the revision
 	 */
-	StoreRevision configurationRevision(long knownEra) {
+	StoreRevision storeRevision(long knownEra) {
 		return new StoreRevision((this.era != null) ? this.era : knownEra, this.revision);
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedObjectStore.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedObjectStore.java
@@ -109,8 +109,8 @@
 			Consumer<StoreResult> result) {
 		boolean current = hasConfiguration(response) && response.ageMillis() <= MAXIMUM_RELAY_AGE_MILLIS;
 		// A configuration read directly from the store may be newer than the relay's.
-		boolean older = hasConfiguration(response) && response.configurationRevision(this.configurationRevision.era())
-			.isBefore(this.configurationRevision);
+		boolean older = hasConfiguration(response)
+				&& response.storeRevision(this.configurationRevision.era()).isBefore(this.configurationRevision);
 		if (current && !older) {
 			this.fallbackLimiter.reset(kind);
 			result.accept(toConfirmedResult(response));
@@ -143,7 +143,7 @@
 
 	private StoreResult toConfirmedResult(RelayResponse response) {
 		if (response.outcome() == RelayResponse.Outcome.LISTED) {
-			this.configurationRevision = response.configurationRevision(this.configurationRevision.era());
+			this.configurationRevision = response.storeRevision(this.configurationRevision.era());
 			StoredObject object = response.storedObjects().get(0);
 			this.configurationObject = new StoredObject(object.name(), this.configurationRevision, object.content());
 		}
@@ -196,7 +196,7 @@
 		if (response.outcome() == RelayResponse.Outcome.LISTED) {
 			this.fallbackLimiter.reset(kind);
 			this.listSources.put(kind, new ListSource(relay, response.source()));
-			result.accept(new StoreResult.Listed(response.storedObjects(), response.revision(), false));
+			result.accept(new StoreResult.Listed(response.storedObjects(), response.storeRevision(0), false));
 		}
 		else if (this.fallbackLimiter.tryAcquire(kind)) {
 			logFallback(relay, kind, response);
@@ -236,7 +236,7 @@
 			return new StoreResult.HistoryGone();
 		}
 		if (response.get().outcome() == RelayResponse.Outcome.CHANGED) {
-			return new StoreResult.Changed(response.get().objectChanges(), response.get().revision());
+			return new StoreResult.Changed(response.get().objectChanges(), response.get().storeRevision(0));
 		}
 		return new StoreResult.HistoryGone();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
@@ -19,7 +19,7 @@
 	 * Time after the end of a store outage within which running servers renew their
 	 * expired registrations.
 	 */
-	static final long RELIST_GRACE_MILLIS = 2_300;
+	static final long RELIST_GRACE_MILLIS = ReappearanceGrace.GRACE_MILLIS;
 
 	private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/WatchCache.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/WatchCache.java
@@ -13,12 +13,14 @@
 
 import org.skylarkspring.gateway.model.ObjectChange;
 import org.skylarkspring.gateway.model.StoreResult;
+import org.skylarkspring.gateway.model.StoreRevision;
 import org.skylarkspring.gateway.model.StoredObject;
 
 /**
  * Cache of the store's objects of one kind and of their latest changes, from which a
  * relay answers the list and watch requests of other instances. Revisions count the
- * updates that this instance has received and differ from the store's revisions.
+ * updates that this instance has received and differ from the store's revisions; their
+ * era is that of the store.
  */
 final class WatchCache {
 
@@ -55,6 +57,9 @@
 
 	private long revision;
 
+	/** Era of the store in which the objects were listed. */
+	private long era;
+
 	private boolean synced;
 
 	private boolean notificationScheduled;
@@ -71,6 +76,12 @@
 	ObjectInformer.Listener listenerForwardingTo(ObjectInformer.Listener next) {
 		return new ObjectInformer.Listener() {
 
+			@Override
+			public void onEra(long listedEra) {
+				WatchCache.this.era = listedEra;
+				next.onEra(listedEra);
+			}
+
 			@Override
 			public void onListed(List<StoredObject> all, boolean afterOutage) {
 				WatchCache.this.onListed(all, afterOutage);
@@ -184,7 +195,7 @@
 	}
 
 	private StoreResult listed() {
-		return new StoreResult.Listed(List.copyOf(this.objects.values()), this.revision, false);
+		return new StoreResult.Listed(List.copyOf(this.objects.values()), storeRevision(), false);
 	}
 
 	/**
@@ -220,7 +231,11 @@
 			return new StoreResult.HistoryGone();
 		}
 		return new StoreResult.Changed(
-				this.retainedChanges.stream().skip(this.retainedChanges.size() - missed).toList(), this.revision);
+				this.retainedChanges.stream().skip(this.retainedChanges.size() - missed).toList(), storeRevision());
+	}
+
+	private StoreRevision storeRevision() {
+		return new StoreRevision(this.era, this.revision);
 	}
 
 	private void completePendingWatches(Function<PendingWatch, StoreResult> resultFactory) {
