Keep servers draining that a restored store lists as ready

A drain is final for an incarnation: the server table remembers the incarnations that were registered as draining and takes their registrations for draining ones.

Two cases in ServerTableTests.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.model.ServerIncarnation;
@@ -21,8 +23,17 @@
 	 */
 	static final long RELIST_GRACE_MILLIS = ReappearanceGrace.GRACE_MILLIS;
 
+	/** Many times the servers that drain within the age of a copy of the store. */
+	private static final int MAXIMUM_DRAINED = 2_000;
+
 	private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
 
+	/**
+	 * Incarnations that were registered as draining, oldest first. A store that returns
+	 * from a copy may list them as ready again.
+	 */
+	private final Set<ServerIncarnation> drained = new LinkedHashSet<>();
+
 	private final Consumer<ServerEntry> onTerminating;
 
 	private long storeRecoveredMillis = Long.MIN_VALUE / 2;
@@ -72,10 +83,11 @@
 
 	/**
 	 * Adds or updates a server. A new incarnation of a known server gets a new entry.
-	 * @param registration registration of the server
+	 * @param registered registration of the server
 	 * @param nowMillis current time in milliseconds
 	 */
-	void addOrUpdate(ServerRegistration registration, long nowMillis) {
+	void addOrUpdate(ServerRegistration registered, long nowMillis) {
+		ServerRegistration registration = withKnownDrain(registered);
 		ServerEntry existing = this.entries.get(registration.id());
 		if (existing == null || !existing.registration.isSameIncarnation(registration)) {
 			this.entries.put(registration.id(), new ServerEntry(registration, nowMillis));
@@ -88,6 +100,21 @@
 		}
 	}
 
+	private ServerRegistration withKnownDrain(ServerRegistration registration) {
+		if (registration.draining()) {
+			rememberDrained(registration.incarnation());
+			return registration;
+		}
+		return this.drained.contains(registration.incarnation()) ? registration.asDraining() : registration;
+	}
+
+	private void rememberDrained(ServerIncarnation incarnation) {
+		this.drained.add(incarnation);
+		if (this.drained.size() > MAXIMUM_DRAINED) {
+			this.drained.remove(this.drained.iterator().next());
+		}
+	}
+
 	/**
 	 * Handles the removal of a registration.
 	 * @param serverId id of the server
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/ServerRegistration.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/ServerRegistration.java
@@ -25,6 +25,15 @@
 		return new ServerIncarnation(this.id, this.startedAtEpochMillis);
 	}
 
+	/**
+	 * Returns this registration with the server draining.
+	 * @return the registration
+	 */
+	public ServerRegistration asDraining() {
+		return new ServerRegistration(this.id, this.service, this.address, this.dataCentre, this.slots, true,
+				this.coldRemainingMillis, this.startedAtEpochMillis);
+	}
+
 	/**
 	 * Returns whether another registration describes the same incarnation of the same
 	 * server.
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerTableTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerTableTests.java
@@ -45,6 +45,24 @@
 			assertThat(acceptsRequests("s1"), is(false));
 		}
 
+		@Test
+		void drainingServerThatRestoredStoreListsAsReadyStaysTerminating() {
+			ServerTableTests.this.table.replaceAll(List.of(registration("s1", true, 1)), false, 0);
+			ServerTableTests.this.table.replaceAll(List.of(registration("s1", false, 1)), true, 10);
+			assertThat(acceptsRequests("s1"), is(false));
+		}
+
+		@Test
+		void drainedAndRemovedServerThatRestoredStoreListsAgainStaysTerminating() {
+			ServerTableTests.this.table.replaceAll(List.of(registration("s1", true, 1)), false, 0);
+			ServerTableTests.this.table.remove("s1", 10);
+			ServerTableTests.this.table.evictExpiredEntries(20);
+			ServerTableTests.this.table.replaceAll(List.of(registration("s1", false, 1)), true, 30);
+			assertThat(acceptsRequests("s1"), is(false));
+			ServerTableTests.this.table.addOrUpdate(registration("s1", false, 2), 40);
+			assertThat(acceptsRequests("s1"), is(true));
+		}
+
 		@Test
 		void removalOutsideStoreOutageTerminatesServer() {
 			ServerTableTests.this.table.replaceAll(List.of(registration("s1", false, 1)), false, 0);
