--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
@@ -1,5 +1,6 @@
 package org.skylarkspring.gateway.internal;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -46,12 +47,24 @@
 	/** Names of the reports that are being written to the store. */
 	private final Set<String> unwritten = new HashSet<>();
 
+	private final ReappearanceGrace grace;
+
+	/** Reports of this instance that the store has confirmed, by name. */
+	private final Map<String, PromptCrash> ownReports = new HashMap<>();
+
+	/** Era of the last list, -1 before the first one. */
+	private long era = -1;
+
+	/** Whether the store has returned from a copy since the last list. */
+	private boolean returnedFromCopy;
+
 	private Map<String, Set<String>> loggedQuarantines = Map.of();
 
 	PromptQuarantine(GatewayContext context, ObjectStore store, ActiveRequestRegistry activeRequests) {
 		this.context = context;
 		this.store = store;
 		this.activeRequests = activeRequests;
+		this.grace = new ReappearanceGrace(context.scheduler, this::removeLost);
 	}
 
 	/**
@@ -124,24 +137,57 @@
 	void tick() {
 		List<PromptCrash> expired = this.table.removeExpired(this.context.scheduler.nowMillis());
 		if (!expired.isEmpty()) {
+			this.ownReports.keySet().retainAll(this.table.names());
 			expired.forEach(this::removeFromStore);
 			applyQuarantines();
 		}
 	}
 
+	@Override
+	public void onEra(long listedEra) {
+		this.returnedFromCopy = this.era >= 0 && listedEra > this.era;
+		this.era = listedEra;
+	}
+
 	@Override
 	public void onListed(List<StoredObject> all, boolean afterOutage) {
 		Set<String> listed = all.stream().map(StoredObject::name).collect(Collectors.toSet());
-		this.table.names()
+		if (this.returnedFromCopy) {
+			writeLostReports(listed);
+		}
+		Set<String> known = this.table.names()
 			.stream()
-			.filter((name) -> !listed.contains(name) && !this.unwritten.contains(name))
-			.forEach(this.table::remove);
+			.filter((name) -> !this.unwritten.contains(name))
+			.collect(Collectors.toSet());
+		// Reports that are missing for another reason were removed on purpose.
+		this.grace.onListed(known, listed, this.returnedFromCopy);
+		this.returnedFromCopy = false;
 		all.forEach(this::addStored);
 		applyQuarantines();
 	}
 
+	private void writeLostReports(Set<String> listed) {
+		Set<String> known = this.table.names();
+		this.ownReports.keySet().retainAll(known);
+		List<PromptCrash> lost = this.ownReports.values()
+			.stream()
+			.filter((crash) -> !listed.contains(crash.name()))
+			.toList();
+		if (!lost.isEmpty()) {
+			this.context.log.logStateChange("store has lost crash reports, writing them again",
+					Map.of("count", lost.size(), "era", this.era));
+			lost.forEach(this::write);
+		}
+	}
+
+	private void removeLost(String name) {
+		this.table.remove(name);
+		applyQuarantines();
+	}
+
 	@Override
 	public void onChanged(ObjectChange change) {
+		this.grace.onChanged(change.object().name());
 		if (change.deleted()) {
 			this.table.remove(change.object().name());
 		}
@@ -188,6 +234,7 @@
 		this.store.write(ObjectKind.PROMPT_CRASHES, crash.name(), this.gson.toJson(crash), (result) -> {
 			if (result instanceof StoreResult.Written) {
 				this.unwritten.remove(crash.name());
+				this.ownReports.put(crash.name(), crash);
 				return;
 			}
 			this.context.log.logStateChange("crash report could not be stored, trying again",
