Stop sending to servers that say in a response that they leave

The gateway learned of it only from the store, the servers' reports in an outage, and other instances. From the first answer with it, whatever its status, the server is draining for this instance, final for its incarnation whatever its registration says later; the others are told with the next load report, at once.

Open: tests on a stream's head and with the store cut or a stale relay.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -33,6 +33,9 @@
 	/** Selects another server for a request and sends the request to it. */
 	private final Consumer<ActiveRequest> dispatcher;
 
+	private Consumer<ServerEntry> leavingListener = (server) -> {
+	};
+
 	private GenerationMigrator migrator;
 
 	AttemptOutcomeHandler(GatewayContext context, ConfigurationPoller configuration, RetryBudgets retryBudgets,
@@ -48,6 +51,14 @@
 		this.dispatcher = dispatcher;
 	}
 
+	/**
+	 * Sets the listener that is told of servers that are about to terminate.
+	 * @param listener the listener
+	 */
+	void setLeavingListener(Consumer<ServerEntry> listener) {
+		this.leavingListener = listener;
+	}
+
 	void setMigrator(GenerationMigrator migrator) {
 		this.migrator = migrator;
 	}
@@ -96,6 +107,14 @@
 		}
 	}
 
+	/**
+	 * Handles a response in which the server says that it is about to terminate.
+	 * @param server the server
+	 */
+	void onServerLeaving(ServerEntry server) {
+		this.leavingListener.accept(server);
+	}
+
 	/**
 	 * Handles a response that states that the server did not execute the request.
 	 * @param attempt the attempt
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -146,6 +146,7 @@
 				this.promptQuarantine, this.serverRateLimits);
 		this.migrator = new GenerationMigrator(this.context, this.dispatcher, this.activeRequests, this.serverSelector);
 		this.dispatcher.setMigrator(this.migrator);
+		this.dispatcher.outcomes().setLeavingListener(this::onServerLeaving);
 		this.activeRequests.setEndListener(this.migrator::onRequestEnded);
 		this.lifecycle = new Lifecycle(this.context.scheduler, this.context.log, settings.shutdownGraceMillis(),
 				this.configuration, this.servers);
@@ -249,6 +250,13 @@
 			.setLimitedServers(this.servers.all().stream().filter(this.serverRateLimits::isLimited).count());
 	}
 
+	private void onServerLeaving(ServerEntry entry) {
+		if (this.servers.markLeaving(entry)) {
+			this.context.metrics.recordDecision("server said that it leaves");
+			this.peerLoadSynchronizer.scheduleReport();
+		}
+	}
+
 	private void onServerTerminating(ServerEntry entry) {
 		this.context.log.logStateChange("server terminating",
 				Map.of("server", entry.registration.id(), "removed", entry.removed, "running", entry.attempts.size()));
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -179,7 +179,7 @@
 			return;
 		}
 		if (status != MISDIRECTED_REQUEST) {
-			this.dispatcher.serverRateLimits().recordResponse(this.server, responseHead.rateLimit());
+			recordServerState(responseHead);
 		}
 		if (responseHead.notExecuted() || status == MISDIRECTED_REQUEST) {
 			cancelAndReport(() -> this.dispatcher.outcomes().onNotExecuted(this, status));
@@ -205,6 +205,13 @@
 		}
 	}
 
+	private void recordServerState(ResponseHead responseHead) {
+		this.dispatcher.serverRateLimits().recordResponse(this.server, responseHead.rateLimit());
+		if (responseHead.leaving()) {
+			this.dispatcher.outcomes().onServerLeaving(this.server);
+		}
+	}
+
 	private void cancelAndReport(Runnable report) {
 		cancel();
 		report.run();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
@@ -139,7 +139,26 @@
 	}
 
 	/**
-	 * Returns the servers that are listed as draining.
+	 * Marks a server as draining because it has said so itself, which holds whatever its
+	 * registration says.
+	 * @param entry the server
+	 * @return whether this was not known
+	 */
+	boolean markLeaving(ServerEntry entry) {
+		if (this.drained.contains(entry.registration.incarnation())) {
+			return false;
+		}
+		rememberDrained(entry.registration.incarnation());
+		entry.registration = entry.registration.asDraining();
+		if (!entry.terminating) {
+			entry.terminating = true;
+			this.onTerminating.accept(entry);
+		}
+		return true;
+	}
+
+	/**
+	 * Returns the servers that are listed as draining or have said so.
 	 * @return incarnations of these servers
 	 */
 	List<ServerIncarnation> drainingIncarnations() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/ResponseHead.java
@@ -11,8 +11,9 @@
  * not run it
  * @param signed whether the response carries a signature of the server
  * @param load load reported by the server
+ * @param leaving whether the server is about to terminate
  * @param rateLimit what the response says about the request rate that the server accepts
  */
 public record ResponseHead(Optional<String> requestId, boolean notExecuted, boolean signed, Optional<LoadSample> load,
-		NamedRateLimit rateLimit) {
+		boolean leaving, NamedRateLimit rateLimit) {
 }
