Leave servers alone for the time that they ask for

The server is now ineligible for that time, for first sends, repeats, migrations and backups alike, checked once more when a connection is established; others take the load, and where none is left the caller is refused at once with the earliest time.

On the way the tests found an overflow that made every server ineligible; it was never committed. ReappearanceGrace starts from a value that cannot overflow either. Open: a gradual return.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ReappearanceGrace.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ReappearanceGrace.java
@@ -19,7 +19,7 @@
 
 	private final Set<String> missing = new HashSet<>();
 
-	private long graceEndMillis = Long.MIN_VALUE;
+	private long graceEndMillis = Long.MIN_VALUE / 2;
 
 	/**
 	 * Creates an object without missing entries.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -144,10 +144,10 @@
 
 	private void endWithoutServer(ActiveRequest request) {
 		RetryDecision decision = request.toRetryContext().decideWithoutRetry();
-		OptionalLong millisUntilPermit = this.serverSelector.millisUntilPermit(request.service);
-		if (millisUntilPermit.isPresent()) {
-			this.activeRequests.end(request, decision, "servers accept a limited rate of requests",
-					millisUntilPermit.getAsLong());
+		OptionalLong millisUntilAccepted = this.serverSelector.millisUntilAccepted(request.service);
+		if (millisUntilAccepted.isPresent()) {
+			this.activeRequests.end(request, decision, "servers accept no requests or a limited rate of them",
+					millisUntilAccepted.getAsLong());
 		}
 		else {
 			this.activeRequests.end(request, decision, "no eligible server");
@@ -198,8 +198,9 @@
 	 * if so, counts it as a possible execution of the request.
 	 * @param attempt the attempt
 	 * @return {@code false} if the API key can no longer be verified before the first
-	 * execution, or if the attempt does not resume a copied generation and its server is
-	 * terminating or its data centre is evacuated
+	 * execution, if the server wants no requests for a while, or if the attempt does not
+	 * resume a copied generation and its server is terminating or its data centre is
+	 * evacuated
 	 */
 	boolean maySend(ServerAttempt attempt) {
 		ActiveRequest request = attempt.activeRequest;
@@ -208,6 +209,9 @@
 		if (firstExecution && request.isAuthenticated() && !this.configuration.hasValidKey(request.head)) {
 			return false;
 		}
+		if (attempt.server.backoffMillis(this.context.scheduler.nowMillis()) > 0) {
+			return false;
+		}
 		if (attempt.dispatchHead.resumePoint().isEmpty() && (!attempt.server.acceptsRequests()
 				|| this.serverSelector.isEvacuated(attempt.server.registration.dataCentre()))) {
 			return false;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Map;
 import java.util.Optional;
 
 import io.undertow.client.ClientRequest;
@@ -207,11 +208,19 @@
 
 	private void recordServerState(ResponseHead responseHead) {
 		this.dispatcher.serverRateLimits().recordResponse(this.server, responseHead.rateLimit());
+		responseHead.backoffMillis().ifPresent(this::recordBackoff);
 		if (responseHead.leaving()) {
 			this.dispatcher.outcomes().onServerLeaving(this.server);
 		}
 	}
 
+	private void recordBackoff(long millis) {
+		this.server.backOffUntil(this.context.scheduler.nowMillis() + millis);
+		this.context.metrics.recordDecision("server asked to be left alone");
+		this.context.log.logStateChange("server wants no requests for a while",
+				Map.of("server", this.server.registration.id(), "millis", millis));
+	}
+
 	private void cancelAndReport(Runnable report) {
 		cancel();
 		report.run();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
@@ -71,6 +71,9 @@
 
 	long peerReservedTokens;
 
+	/** Time until which the server wants no requests of this instance. */
+	private long backoffUntilMillis = Long.MIN_VALUE / 2;
+
 	private double failureRate;
 
 	private long lastOutcomeMillis;
@@ -98,6 +101,24 @@
 		return !this.terminating && !this.removed;
 	}
 
+	/**
+	 * Records that the server wants no requests of this instance for a while. A shorter
+	 * time does not replace a longer one.
+	 * @param untilMillis end of that time in milliseconds
+	 */
+	void backOffUntil(long untilMillis) {
+		this.backoffUntilMillis = Math.max(this.backoffUntilMillis, untilMillis);
+	}
+
+	/**
+	 * Returns for how long the server still wants no requests of this instance.
+	 * @param nowMillis current time in milliseconds
+	 * @return the time in milliseconds, 0 if it accepts them
+	 */
+	long backoffMillis(long nowMillis) {
+		return Math.max(0, this.backoffUntilMillis - nowMillis);
+	}
+
 	boolean isEjected(long nowMillis) {
 		return nowMillis < this.ejectedUntilMillis;
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -84,14 +84,16 @@
 	}
 
 	/**
-	 * Returns the time until a server that accepts requests at a limited rate may accept
-	 * the next one.
+	 * Returns the time until a server may accept a request that it does not accept now
+	 * because of its rate limit or because it wants no requests for a while.
 	 * @param service service of the request
-	 * @return the time in milliseconds, empty if no server of the service names a limit
-	 * or one has a permit left
+	 * @return the time in milliseconds, empty if there is no such server
 	 */
-	OptionalLong millisUntilPermit(ServiceSpec service) {
-		return eligibleServers(service, this.rateLimits::isLimited).mapToLong(this.rateLimits::millisUntilPermit)
+	OptionalLong millisUntilAccepted(ServiceSpec service) {
+		long now = this.context.scheduler.nowMillis();
+		return usableServers(service)
+			.mapToLong((entry) -> Math.max(entry.backoffMillis(now),
+					this.rateLimits.isLimited(entry) ? this.rateLimits.millisUntilPermit(entry) : 0))
 			.filter((millis) -> millis > 0)
 			.min();
 	}
@@ -149,7 +151,7 @@
 	boolean tryUseSelected(ServiceSpec service, ServerEntry entry) {
 		long now = this.context.scheduler.nowMillis();
 		boolean current = this.serverTable.find(entry.registration.id()).filter((found) -> found == entry).isPresent();
-		return current && entry.acceptsRequests() && !entry.isEjected(now)
+		return current && entry.acceptsRequests() && !entry.isEjected(now) && entry.backoffMillis(now) == 0
 				&& !isEvacuated(entry.registration.dataCentre()) && tryAcquirePermits(service, entry, now);
 	}
 
@@ -173,11 +175,15 @@
 	}
 
 	private Stream<ServerEntry> eligibleServers(ServiceSpec service, Predicate<ServerEntry> allowed) {
+		long now = this.context.scheduler.nowMillis();
+		return usableServers(service).filter((entry) -> entry.backoffMillis(now) == 0).filter(allowed);
+	}
+
+	private Stream<ServerEntry> usableServers(ServiceSpec service) {
 		return this.serverTable.findByService(service.name())
 			.stream()
 			.filter(ServerEntry::acceptsRequests)
-			.filter((entry) -> !isEvacuated(entry.registration.dataCentre()))
-			.filter(allowed);
+			.filter((entry) -> !isEvacuated(entry.registration.dataCentre()));
 	}
 
 	private boolean tryAcquirePermits(ServiceSpec service, ServerEntry entry, long now) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.model;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Information taken from the headers of a server's response.
@@ -12,8 +13,10 @@
  * @param signed whether the response carries a signature of the server
  * @param load load reported by the server
  * @param leaving whether the server is about to terminate
+ * @param backoffMillis time for which the server, which has turned the request away,
+ * wants no requests of this instance, in milliseconds
  * @param rateLimit what the response says about the request rate that the server accepts
  */
 public record ResponseHead(Optional<String> requestId, boolean notExecuted, boolean signed, Optional<LoadSample> load,
-		boolean leaving, NamedRateLimit rateLimit) {
+		boolean leaving, OptionalLong backoffMillis, NamedRateLimit rateLimit) {
 }
