--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerEntry.java
@@ -31,12 +31,10 @@
 	 */
 	private static final int MAXIMUM_EJECTION_DOUBLINGS = 3;
 
-	/**
-	 * Cold servers accept 1.5 times their rate plus a fixed allowance in any second.
-	 */
+	/** Cold servers tolerate half as much again in any second. */
 	private static final double COLD_BURST_SECONDS = 0.5;
 
-	/** Servers that name a limit accept half of their rate in addition over seconds. */
+	/** Servers that name a limit tolerate half as much again over several seconds. */
 	private static final double NAMED_LIMIT_BURST_SECONDS = 1;
 
 	final SharedRateLimiter coldRateLimiter = new SharedRateLimiter(COLD_BURST_SECONDS);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerTable.java
@@ -29,8 +29,8 @@
 	private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
 
 	/**
-	 * Incarnations that were registered as draining, oldest first. A store that returns
-	 * from a copy may list them as ready again.
+	 * Incarnations that were registered as draining or have said so, oldest first. A
+	 * drain is final, but a store that returns from a copy may list them as ready again.
 	 */
 	private final Set<ServerIncarnation> drained = new LinkedHashSet<>();
 
