--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerRateLimits.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerRateLimits.java
@@ -20,7 +20,7 @@
 	 * one request at any moment, so no more than these and those of one second may share
 	 * a server.
 	 */
-	private static final double BURST_ALLOWANCE = 5;
+	private static final double BURST_ALLOWANCE_REQUESTS = 5;
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -146,7 +146,7 @@
 	}
 
 	private int sharingInstances(ServerEntry entry, double requestsPerSecond) {
-		return this.peers.sharingInstanceCount(entry.registration.id(), requestsPerSecond + BURST_ALLOWANCE);
+		return this.peers.sharingInstanceCount(entry.registration.id(), requestsPerSecond + BURST_ALLOWANCE_REQUESTS);
 	}
 
 	private long now() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -92,8 +92,7 @@
 	OptionalLong millisUntilAccepted(ServiceSpec service) {
 		long now = this.context.scheduler.nowMillis();
 		return usableServers(service)
-			.mapToLong((entry) -> Math.max(entry.backoffMillis(now),
-					this.rateLimits.isLimited(entry) ? this.rateLimits.millisUntilPermit(entry) : 0))
+			.mapToLong((entry) -> Math.max(entry.backoffMillis(now), this.rateLimits.millisUntilPermit(entry)))
 			.filter((millis) -> millis > 0)
 			.min();
 	}
