Stop the source of a migrated generation until it confirms

Cause: a close was taken for a stop. The gateway closed the connection to the source 10 ms after it had asked the target, and nothing showed that the server had noticed. Engines look at their connections between two steps; a slow one runs on for a second, one that never looks to its end. After a failed connection the backup was asked at once, whatever the source was still doing.

Now GenerationStopper asks the source whether it runs the generation, orders it to stop if it still does after 100 ms, and repeats that until it confirms, refuses connections (it has ended) or cannot be reached. A source that is reached and does not stop within 300 ms ends the request. A failed source has to stop before its backup is asked. Also: timers and copies of an earlier migration act on that migration only (found by reading: they could start a second copy, and the successor of the first was left running; not shown by a run).

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -45,6 +45,9 @@
 
 	private XnioIoThread.Key connectTimer;
 
+	/** Sends the request on the established connection, {@code null} until then. */
+	private Runnable pendingSend;
+
 	private boolean requestSent;
 
 	private boolean closed;
@@ -70,7 +73,19 @@
 		this.connectTimer = this.connector.schedule(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
 				connectTimeoutMillis);
 		this.connector.connect(address, this.headLimit,
-				callback((connected) -> sendRequest(connected, request, body), this::closeLateConnection));
+				callback((connected) -> onConnected(connected, request, body), this::closeLateConnection));
+	}
+
+	/**
+	 * Sends the request of a call whose listener decided to wait when the connection was
+	 * established. Has no effect if the call has ended or the request was sent.
+	 */
+	public void send() {
+		Runnable send = this.pendingSend;
+		this.pendingSend = null;
+		if (send != null && !this.closed) {
+			send.run();
+		}
 	}
 
 	/** Cancels the call and closes its connection. The listener is not called again. */
@@ -96,13 +111,20 @@
 		IoUtils.safeClose(late);
 	}
 
-	private void sendRequest(ClientConnection connected, ClientRequest request, byte[] body) {
+	private void onConnected(ClientConnection connected, ClientRequest request, byte[] body) {
 		this.connectTimer.remove();
 		this.connection = connected;
-		if (!this.listener.beforeSend()) {
+		this.pendingSend = () -> sendRequest(connected, request, body);
+		SendDecision decision = this.listener.beforeSend();
+		if (decision == SendDecision.SEND) {
+			send();
+		}
+		else if (decision == SendDecision.WITHDRAW) {
 			fail(new IOException("call withdrawn before the request was sent"));
-			return;
 		}
+	}
+
+	private void sendRequest(ClientConnection connected, ClientRequest request, byte[] body) {
 		this.requestSent = true;
 		connected.sendRequest(request, callback((exchange) -> onRequestSent(exchange, body), (exchange) -> {
 		}));
@@ -245,6 +267,22 @@
 		};
 	}
 
+	/**
+	 * What happens to a request once its connection is established.
+	 */
+	public enum SendDecision {
+
+		/** The request is sent. */
+		SEND,
+
+		/** The request is not sent before {@link HttpClientCall#send()} is called. */
+		WAIT,
+
+		/** The call fails without being sent. */
+		WITHDRAW
+
+	}
+
 	/**
 	 * Receives the response to a call.
 	 */
@@ -252,10 +290,10 @@
 
 		/**
 		 * Called when the connection is established, before the request is sent.
-		 * @return {@code false} to withdraw the call
+		 * @return what happens to the request
 		 */
-		default boolean beforeSend() {
-			return true;
+		default SendDecision beforeSend() {
+			return SendDecision.SEND;
 		}
 
 		/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpTextClient.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpTextClient.java
@@ -38,6 +38,23 @@
 	 */
 	public void sendAsync(String address, HttpTextRequest request, long timeoutMillis,
 			Consumer<HttpTextResult> result) {
+		sendAsync(address, request, timeoutMillis, timeoutMillis, result);
+	}
+
+	/**
+	 * Sends a call and returns immediately. A result that the call was not sent for
+	 * {@link HttpClientCall#CONNECT_TIMEOUT_REASON} tells that the server could not be
+	 * reached.
+	 * @param address the IP address and port
+	 * @param request the call
+	 * @param connectTimeoutMillis longest time until the connection is established, in
+	 * milliseconds
+	 * @param timeoutMillis longest time until the whole response is received, in
+	 * milliseconds
+	 * @param result receives the result, exactly once
+	 */
+	public void sendAsync(String address, HttpTextRequest request, long connectTimeoutMillis, long timeoutMillis,
+			Consumer<HttpTextResult> result) {
 		ResponseCollector collector = new ResponseCollector(request.maximumResponseBytes(), result);
 		HttpClientCall call = new HttpClientCall(this.connector, collector);
 		collector.call = call;
@@ -50,7 +67,7 @@
 			head.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
 			head.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
 		});
-		call.start(address, head, body, timeoutMillis);
+		call.start(address, head, body, connectTimeoutMillis);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -68,7 +68,7 @@
 	 * @param successor the attempt on that server
 	 */
 	void onSuccessorEvent(ServerAttempt successor) {
-		this.migrator.onSuccessorStarted(successor);
+		this.migrator.replaceSource(successor);
 	}
 
 	/**
@@ -126,8 +126,7 @@
 		this.activeRequests.detachAttempt(attempt);
 		request.possibleExecutions--;
 		this.activeRequests.logAttemptDecision(request, "server refused", attempt, String.valueOf(status));
-		if (successor) {
-			this.migrator.onSuccessorFailed(attempt);
+		if (successor && this.migrator.selectTargetAfterFailure(attempt)) {
 			return;
 		}
 		if (!this.migrator.endIfResumeRejected(attempt)) {
@@ -162,8 +161,7 @@
 			this.reachability.recordConnectTimeout(attempt.server.registration.dataCentre(),
 					this.context.scheduler.nowMillis());
 		}
-		if (successor) {
-			this.migrator.onSuccessorFailed(attempt);
+		if (successor && this.migrator.selectTargetAfterFailure(attempt)) {
 			return;
 		}
 		if (this.migrator.takeOverFailedSource(attempt)) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigration.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigration.java
@@ -3,6 +3,8 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.skylarkspring.gateway.model.GenerationResumePoint;
+
 /**
  * State of the migration of a generation from a terminating server to another one.
  */
@@ -14,8 +16,14 @@
 
 	final long startedMillis;
 
+	/** Time at which the target was asked to continue the generation. */
+	long askedMillis;
+
 	ServerEntry target;
 
+	/** Point from which the target resumes the generation, {@code null} until known. */
+	GenerationResumePoint resumePoint;
+
 	/** Identifier of the last completed copy, {@code null} for none. */
 	String copyHandle;
 
@@ -52,8 +60,16 @@
 		}
 	}
 
+	/** Ends the migration, unless the target already continues the generation. */
+	void abort() {
+		releaseReservation();
+		if (this.stage != Stage.RESUMED) {
+			this.stage = Stage.ABORTED;
+		}
+	}
+
 	boolean isInProgress() {
-		return this.stage == Stage.WAITING || this.stage == Stage.COPYING || this.stage == Stage.RESUMING;
+		return this.stage != Stage.RESUMED && this.stage != Stage.ABORTED;
 	}
 
 	/**
@@ -67,8 +83,14 @@
 		/** The KV cache is copied while the generation continues on the source. */
 		COPYING,
 
-		/** The target was asked to continue the generation. */
-		RESUMING,
+		/** The target is being connected, so that it can be asked without delay. */
+		CONNECTING,
+
+		/** The target was asked to continue the generation while the source runs. */
+		ASKED,
+
+		/** The source has failed and has to stop before the target is asked. */
+		STOPPING,
 
 		/** The target continues the generation. */
 		RESUMED,
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
+import org.skylarkspring.gateway.http.HttpTextRequest;
 import org.skylarkspring.gateway.http.HttpTextResult;
 import org.skylarkspring.gateway.model.EngineSpec;
 import org.skylarkspring.gateway.model.GenerationResumePoint;
@@ -12,8 +14,10 @@
 /**
  * Migrates running generations to other servers without interrupting the response, when
  * their server terminates or has failed. A generation continues from its backup if it has
- * one, otherwise from a copy of its KV cache that is made while it runs. The source is
- * stopped only when the target was asked and has had time to refuse.
+ * one, otherwise from a copy of its KV cache that is made while it runs. A source that
+ * runs is stopped when the target was asked and has had time to refuse, and has to
+ * confirm it. The target of a source that has failed is asked only when that is confirmed
+ * to have stopped.
  */
 final class GenerationMigrator {
 
@@ -56,12 +60,35 @@
 
 	private final ServerSelector serverSelector;
 
+	private final GenerationStopper stopper;
+
 	GenerationMigrator(GatewayContext context, RequestDispatcher dispatcher, ActiveRequestRegistry activeRequests,
 			ServerSelector serverSelector) {
 		this.context = context;
 		this.dispatcher = dispatcher;
 		this.activeRequests = activeRequests;
 		this.serverSelector = serverSelector;
+		this.stopper = new GenerationStopper(context.scheduler, context.log, context.metrics, this::sendRunQuery,
+				this::sendStopOrder, this::releaseCopy);
+	}
+
+	private void sendRunQuery(String requestId, ServerEntry source, ServerEntry next,
+			GenerationStopper.ResultConsumer onResult) {
+		String address = source.registration.address();
+		sendToSource(address, this.context.serverProtocol.buildRunQuery(requestId, address),
+				(response) -> onResult.accept(response, this.context.serverProtocol.decodeRunQueryResult(response)));
+	}
+
+	private void sendStopOrder(String requestId, ServerEntry source, ServerEntry next,
+			GenerationStopper.ResultConsumer onResult) {
+		sendToSource(source.registration.address(),
+				this.context.serverProtocol.buildStopRequest(requestId, next.registration.address()),
+				(response) -> onResult.accept(response, this.context.serverProtocol.decodeStopResult(response)));
+	}
+
+	private void sendToSource(String address, HttpTextRequest call, Consumer<HttpTextResult> onResult) {
+		this.context.client.sendAsync(address, call, GenerationStopper.CONNECT_TIMEOUT_MILLIS,
+				GenerationStopper.CALL_TIMEOUT_MILLIS, onResult);
 	}
 
 	/**
@@ -83,9 +110,15 @@
 		if (!isMigratable(request) || request.finished || request.attempt != attempt || inProgress) {
 			return;
 		}
-		request.migration = new GenerationMigration(attempt, this.context.scheduler.nowMillis());
-		tryUseBackup(attempt).ifPresentOrElse((backup) -> resumeOn(request, backup, backupResumePoint(request, backup)),
-				() -> selectTargetAndCopy(request));
+		GenerationMigration migration = beginMigration(attempt);
+		tryUseBackup(attempt).ifPresentOrElse((backup) -> connectBackup(request, migration, backup),
+				() -> selectTargetAndCopy(request, migration));
+	}
+
+	private GenerationMigration beginMigration(ServerAttempt source) {
+		GenerationMigration migration = new GenerationMigration(source, this.context.scheduler.nowMillis());
+		source.activeRequest.migration = migration;
+		return migration;
 	}
 
 	private static boolean isMigratable(ActiveRequest request) {
@@ -101,15 +134,19 @@
 			.filter((backup) -> this.serverSelector.tryUseSelected(attempt.activeRequest.service, backup));
 	}
 
-	private static GenerationResumePoint backupResumePoint(ActiveRequest request, ServerEntry backup) {
-		return new GenerationResumePoint(backup.registration.address(), request.id(),
-				request.eventOrder.lastDeliveredId());
+	private void connectBackup(ActiveRequest request, GenerationMigration migration, ServerEntry backup) {
+		connectTarget(request, migration, backup, new GenerationResumePoint(backup.registration.address(), request.id(),
+				request.eventOrder.lastDeliveredId()));
 	}
 
-	private void selectTargetAndCopy(ActiveRequest request) {
-		GenerationMigration migration = request.migration;
-		if (request.finished || request.attempt != migration.source) {
-			migration.stage = GenerationMigration.Stage.ABORTED;
+	// A timer or a copy of an earlier migration must not act on the current one.
+	private static boolean isObsolete(ActiveRequest request, GenerationMigration migration) {
+		return request.finished || request.migration != migration || request.attempt != migration.source;
+	}
+
+	private void selectTargetAndCopy(ActiveRequest request, GenerationMigration migration) {
+		if (isObsolete(request, migration)) {
+			migration.abort();
 			return;
 		}
 		Optional<ServerEntry> target = this.serverSelector.selectMigrationTarget(request.service,
@@ -118,34 +155,41 @@
 			// Capacity may become available while the source still runs, also on
 			// servers that rejected the copy before.
 			migration.rejectedTargetIds.clear();
-			this.context.scheduler.schedule(NO_TARGET_RETRY_DELAY_MILLIS, () -> selectTargetAndCopy(request));
+			migration.stage = GenerationMigration.Stage.WAITING;
+			this.context.scheduler.schedule(NO_TARGET_RETRY_DELAY_MILLIS,
+					() -> selectTargetAndCopy(request, migration));
 			return;
 		}
-		migration.reserveTokens(target.get(), request.reservedTokens);
+		copyTo(request, migration, target.get());
+	}
+
+	private void copyTo(ActiveRequest request, GenerationMigration migration, ServerEntry target) {
+		migration.reserveTokens(target, request.reservedTokens);
 		migration.stage = GenerationMigration.Stage.COPYING;
 		long startedMillis = this.context.scheduler.nowMillis();
 		this.context.client.sendAsync(migration.source.server.registration.address(),
-				this.context.serverProtocol.buildMigrationRequest(request.id(),
-						migration.target.registration.address()),
-				COPY_TIMEOUT_MILLIS, (result) -> onCopyResult(request, migration, result, startedMillis));
+				this.context.serverProtocol.buildMigrationRequest(request.id(), target.registration.address()),
+				COPY_TIMEOUT_MILLIS, (response) -> onCopyResult(request, migration,
+						this.context.serverProtocol.decodeMigrationResult(response), startedMillis));
 	}
 
-	private void onCopyResult(ActiveRequest request, GenerationMigration migration, HttpTextResult response,
+	private void onCopyResult(ActiveRequest request, GenerationMigration migration, MigrationResult result,
 			long startedMillis) {
-		MigrationResult result = this.context.serverProtocol.decodeMigrationResult(response);
 		this.context.log.logRequest(request.id(), "KV cache copy finished",
 				Map.of("result", String.valueOf(result), "source", migration.source.server.registration.id(), "target",
 						migration.target.registration.id(), "millis",
 						this.context.scheduler.nowMillis() - startedMillis));
-		if (request.finished || request.attempt != migration.source) {
-			migration.stage = GenerationMigration.Stage.ABORTED;
-			migration.releaseReservation();
-			return;
-		}
 		if (result instanceof MigrationResult.Copied copied) {
 			migration.copyHandle = copied.handle();
-			resumeOn(request, migration.target,
-					new GenerationResumePoint(migration.source.server.registration.address(), copied.handle(),
+		}
+		if (isObsolete(request, migration)) {
+			migration.abort();
+			releaseUnusedCopy(migration);
+			return;
+		}
+		if (migration.copyHandle != null) {
+			connectTarget(request, migration, migration.target,
+					new GenerationResumePoint(migration.source.server.registration.address(), migration.copyHandle,
 							request.eventOrder.lastDeliveredId()));
 			return;
 		}
@@ -157,80 +201,144 @@
 			migration.rejectedTargetIds.add(migration.target.registration.id());
 		}
 		this.context.scheduler.schedule(notStarted ? NOT_STARTED_RETRY_DELAY_MILLIS : COPY_RETRY_DELAY_MILLIS,
-				() -> selectTargetAndCopy(request));
+				() -> selectTargetAndCopy(request, migration));
 	}
 
-	private void resumeOn(ActiveRequest request, ServerEntry target, GenerationResumePoint resumePoint) {
-		GenerationMigration migration = request.migration;
+	private void connectTarget(ActiveRequest request, GenerationMigration migration, ServerEntry target,
+			GenerationResumePoint resumePoint) {
 		migration.releaseReservation();
 		migration.target = target;
-		migration.stage = GenerationMigration.Stage.RESUMING;
-		this.dispatcher.sendSuccessor(request, target, resumePoint);
+		migration.resumePoint = resumePoint;
+		migration.stage = GenerationMigration.Stage.CONNECTING;
+		this.dispatcher.connectSuccessor(request, target, resumePoint);
 	}
 
 	/**
-	 * Limits the time for which source and target may both run the generation, starting
-	 * when the request is sent to the target.
-	 * @param successor the attempt on the target
+	 * Returns whether the server that is to continue a generation may be asked now that
+	 * it is connected. Otherwise it is asked as soon as the failed source has stopped.
+	 * @param successor the attempt on that server
+	 * @return {@code true} if the source is running, which is then stopped soon
 	 */
-	void onSuccessorSent(ServerAttempt successor) {
-		this.context.scheduler.schedule(MAXIMUM_OVERLAP_MILLIS, () -> {
-			if (successor.isSuccessor() && !successor.activeRequest.finished) {
-				replaceSource(successor.activeRequest, "overlap limit reached");
-			}
-		});
+	boolean mayAskSuccessor(ServerAttempt successor) {
+		GenerationMigration migration = successor.activeRequest.migration;
+		if (successor.activeRequest.attempt == migration.source) {
+			migration.stage = GenerationMigration.Stage.ASKED;
+			migration.askedMillis = this.context.scheduler.nowMillis();
+			this.context.scheduler.schedule(MAXIMUM_OVERLAP_MILLIS, () -> replaceSource(successor));
+			return true;
+		}
+		migration.stage = GenerationMigration.Stage.STOPPING;
+		this.stopper.stopAfterFailure(successor.activeRequest.id(), migration.source.server, successor.server,
+				(outcome) -> askAfterStop(successor, migration, outcome));
+		return false;
 	}
 
 	/**
-	 * Replaces the source by the server that continues a generation, which has sent its
-	 * first event.
+	 * Replaces the source by the server that continues a generation, and stops it. Has no
+	 * effect if the server does so already, or does not any more.
 	 * @param successor the attempt on that server
 	 */
-	void onSuccessorStarted(ServerAttempt successor) {
-		replaceSource(successor.activeRequest, "target continues");
+	void replaceSource(ServerAttempt successor) {
+		ActiveRequest request = successor.activeRequest;
+		if (request.finished || !successor.isSuccessor()) {
+			return;
+		}
+		GenerationMigration migration = request.migration;
+		this.activeRequests.cancelAttempt(request.attempt);
+		promoteSuccessor(successor, migration);
+		this.stopper.stopAfterClose(request.id(), migration.source.server, successor.server,
+				(outcome) -> onSourceStopped(request, migration, outcome));
 	}
 
-	/**
-	 * Handles the failure of the server that was to continue a generation, while the
-	 * source still runs.
-	 * @param successor the failed attempt on that server
-	 */
-	void onSuccessorFailed(ServerAttempt successor) {
+	private void promoteSuccessor(ServerAttempt successor, GenerationMigration migration) {
 		ActiveRequest request = successor.activeRequest;
-		GenerationMigration migration = request.migration;
-		migration.copyHandle = null;
-		migration.failedResumes++;
-		if (migration.failedResumes >= MAXIMUM_FAILED_RESUMES) {
-			migration.stage = GenerationMigration.Stage.ABORTED;
+		migration.stage = GenerationMigration.Stage.RESUMED;
+		request.successor = null;
+		request.attempt = successor;
+		logResumption(request, migration);
+		if (!successor.server.acceptsRequests()) {
+			startMigration(successor);
+		}
+	}
+
+	private void onSourceStopped(ActiveRequest request, GenerationMigration migration,
+			GenerationStopper.Outcome outcome) {
+		long overlapMillis = this.context.scheduler.nowMillis() - migration.askedMillis;
+		this.context.metrics.recordGenerationOverlap(outcome.name(), overlapMillis);
+		handleOf(outcome).ifPresent((handle) -> releaseCopy(migration.source.server, handle));
+		if (outcome instanceof GenerationStopper.Outcome.StillRunning) {
+			endWithoutOwner(request);
+		}
+	}
+
+	private void askAfterStop(ServerAttempt successor, GenerationMigration migration,
+			GenerationStopper.Outcome outcome) {
+		ActiveRequest request = successor.activeRequest;
+		handleOf(outcome).ifPresent((handle) -> migration.copyHandle = handle);
+		if (request.finished || !successor.isSuccessor()) {
+			releaseUnusedCopy(migration);
 			return;
 		}
-		migration.rejectedTargetIds.add(successor.server.registration.id());
-		migration.stage = GenerationMigration.Stage.WAITING;
-		selectTargetAndCopy(request);
+		if (outcome instanceof GenerationStopper.Outcome.StillRunning) {
+			endWithoutOwner(request);
+			return;
+		}
+		handleOf(outcome).ifPresent((handle) -> migration.resumePoint = new GenerationResumePoint(
+				migration.source.server.registration.address(), handle, Optional.empty()));
+		migration.askedMillis = this.context.scheduler.nowMillis();
+		promoteSuccessor(successor, migration);
+		request.possibleExecutions++;
+		successor.resumeFrom(
+				new GenerationResumePoint(migration.resumePoint.sourceAddress(), migration.resumePoint.cacheCopyId(),
+						request.eventOrder.lastDeliveredId()),
+				Math.max(1, request.deadlineMillis - this.context.scheduler.nowMillis()));
 	}
 
-	private void replaceSource(ActiveRequest request, String reason) {
-		ServerAttempt successor = request.successor;
-		this.activeRequests.cancelAttempt(request.attempt);
-		promoteSuccessor(request, successor, reason);
+	private static Optional<String> handleOf(GenerationStopper.Outcome outcome) {
+		return (outcome instanceof GenerationStopper.Outcome.Stopped stopped) ? stopped.handle() : Optional.empty();
 	}
 
-	private void promoteSuccessor(ActiveRequest request, ServerAttempt successor, String reason) {
+	// Only one of two servers may run a generation.
+	private void endWithoutOwner(ActiveRequest request) {
+		if (!request.finished) {
+			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
+					"server does not stop the generation");
+		}
+	}
+
+	private void logResumption(ActiveRequest request, GenerationMigration migration) {
 		long now = this.context.scheduler.nowMillis();
-		GenerationMigration migration = request.migration;
-		migration.stage = GenerationMigration.Stage.RESUMED;
-		request.successor = null;
-		request.attempt = successor;
 		this.context.log.logRequest(request.id(), "generation resumed on target",
 				Map.of("source", migration.source.server.registration.id(), "target",
-						successor.server.registration.id(), "reason", reason, "last-event",
-						request.eventOrder.lastDeliveredId().orElse(""), "millis-since-notice",
+						migration.target.registration.id(), "millis-since-asked", now - migration.askedMillis,
+						"last-event", request.eventOrder.lastDeliveredId().orElse(""), "millis-since-notice",
 						now - migration.startedMillis, "millis-since-event",
 						(request.lastEventMillis < 0) ? -1 : now - request.lastEventMillis));
 		this.context.metrics.recordDecision("generation carried over");
-		if (!successor.server.acceptsRequests()) {
-			startMigration(successor);
+	}
+
+	/**
+	 * Handles the failure or refusal of the server that was to continue a generation.
+	 * @param successor the failed attempt on that server
+	 * @return {@code false} if the source does not run any more, so that the generation
+	 * cannot continue
+	 */
+	boolean selectTargetAfterFailure(ServerAttempt successor) {
+		ActiveRequest request = successor.activeRequest;
+		GenerationMigration migration = request.migration;
+		releaseUnusedCopy(migration);
+		if (isObsolete(request, migration)) {
+			migration.abort();
+			return false;
 		}
+		migration.failedResumes++;
+		if (migration.failedResumes >= MAXIMUM_FAILED_RESUMES) {
+			migration.abort();
+			return true;
+		}
+		migration.rejectedTargetIds.add(successor.server.registration.id());
+		selectTargetAndCopy(request, migration);
+		return true;
 	}
 
 	/**
@@ -242,21 +350,29 @@
 	boolean takeOverFailedSource(ServerAttempt attempt) {
 		ActiveRequest request = attempt.activeRequest;
 		if (request.successor != null) {
-			promoteSuccessor(request, request.successor, "source ended");
+			continueAfterSourceFailure(request);
 			return true;
 		}
 		Optional<ServerEntry> backup = isMigratable(request) ? tryUseBackup(attempt) : Optional.empty();
 		if (backup.isEmpty()) {
 			return false;
 		}
-		request.migration = new GenerationMigration(attempt, this.context.scheduler.nowMillis());
-		request.migration.target = backup.get();
-		request.migration.stage = GenerationMigration.Stage.RESUMED;
 		this.context.metrics.recordDecision("generation continued from backup");
-		this.dispatcher.send(request, backup.get(), Optional.of(backupResumePoint(request, backup.get())));
+		connectBackup(request, beginMigration(attempt), backup.get());
 		return true;
 	}
 
+	// A target that is not connected yet is asked when the source has stopped.
+	private void continueAfterSourceFailure(ActiveRequest request) {
+		GenerationMigration migration = request.migration;
+		ServerAttempt successor = request.successor;
+		if (migration.stage == GenerationMigration.Stage.ASKED) {
+			promoteSuccessor(successor, migration);
+			this.stopper.stopAfterFailure(request.id(), migration.source.server, successor.server,
+					(outcome) -> onSourceStopped(request, migration, outcome));
+		}
+	}
+
 	/**
 	 * Ends a request if its server refused to resume the generation. No other server can
 	 * resume it, and restarting it would execute it twice, which is allowed only for
@@ -284,18 +400,25 @@
 			return;
 		}
 		migration.releaseReservation();
-		if (migration.copyHandle != null && migration.stage != GenerationMigration.Stage.RESUMED) {
-			releaseCopy(migration);
+		if (migration.stage != GenerationMigration.Stage.RESUMED) {
+			releaseUnusedCopy(migration);
+		}
+	}
+
+	private void releaseUnusedCopy(GenerationMigration migration) {
+		if (migration.copyHandle != null) {
+			releaseCopy(migration.source.server, migration.copyHandle);
+			migration.copyHandle = null;
 		}
 	}
 
 	// An unused copy would occupy memory and a slot on the target.
-	private void releaseCopy(GenerationMigration migration) {
+	private void releaseCopy(ServerEntry source, String handle) {
 		this.context.metrics.recordDecision("copy freed");
-		this.context.client.sendAsync(migration.source.server.registration.address(),
-				this.context.serverProtocol.buildReleaseRequest(migration.copyHandle), COPY_TIMEOUT_MILLIS,
+		this.context.client.sendAsync(source.registration.address(),
+				this.context.serverProtocol.buildReleaseRequest(handle), COPY_TIMEOUT_MILLIS,
 				(result) -> this.context.log.logStateChange("copy freed",
-						Map.of("target", migration.target.registration.id(), "result", String.valueOf(result))));
+						Map.of("source", source.registration.id(), "result", String.valueOf(result))));
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.skylarkspring.gateway.http.HttpClientCall;
 import org.skylarkspring.gateway.model.GenerationResumePoint;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.RetryDecision;
@@ -139,7 +140,7 @@
 			endWithoutServer(request);
 			return;
 		}
-		send(request, server.get(), Optional.empty());
+		send(request, server.get());
 	}
 
 	private void endWithoutServer(ActiveRequest request) {
@@ -158,23 +159,22 @@
 	 * Sends a request to a server.
 	 * @param request the request
 	 * @param entry the server
-	 * @param resumePoint point from which the generation resumes, empty for a new one
 	 */
-	void send(ActiveRequest request, ServerEntry entry, Optional<GenerationResumePoint> resumePoint) {
-		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, resumePoint);
+	private void send(ActiveRequest request, ServerEntry entry) {
+		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, Optional.empty());
 		request.attempt = attempt;
 		startResponseTimer(attempt);
 		this.attemptSender.start(attempt);
 	}
 
 	/**
-	 * Sends a generation to the server that is about to continue it, while its current
-	 * attempt still runs.
+	 * Connects to the server that is to continue a generation. The request is sent at
+	 * once if the source is running, otherwise when it has stopped.
 	 * @param request the request
 	 * @param entry the server
 	 * @param resumePoint point from which the generation resumes
 	 */
-	void sendSuccessor(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint) {
+	void connectSuccessor(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint) {
 		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, Optional.of(resumePoint));
 		request.successor = attempt;
 		this.attemptSender.start(attempt);
@@ -194,17 +194,29 @@
 	}
 
 	/**
-	 * Returns whether an attempt may be sent now that its connection is established, and
-	 * if so, counts it as a possible execution of the request.
+	 * Decides whether an attempt is sent now that its connection is established, and if
+	 * so, counts it as a possible execution of the request.
 	 * @param attempt the attempt
-	 * @return {@code false} if the API key can no longer be verified before the first
+	 * @return the decision; the attempt waits if the source of its generation has to stop
+	 * first, and is withdrawn if the API key can no longer be verified before the first
 	 * execution, if the server wants no requests for a while, or if the attempt does not
 	 * resume a copied generation and its server is terminating or its data centre is
 	 * evacuated
 	 */
-	boolean maySend(ServerAttempt attempt) {
-		ActiveRequest request = attempt.activeRequest;
+	HttpClientCall.SendDecision decideSend(ServerAttempt attempt) {
 		this.reachability.recordConnectSuccess(attempt.server.registration.dataCentre());
+		if (!maySend(attempt)) {
+			return HttpClientCall.SendDecision.WITHDRAW;
+		}
+		if (attempt.isSuccessor() && !this.migrator.mayAskSuccessor(attempt)) {
+			return HttpClientCall.SendDecision.WAIT;
+		}
+		attempt.activeRequest.possibleExecutions++;
+		return HttpClientCall.SendDecision.SEND;
+	}
+
+	private boolean maySend(ServerAttempt attempt) {
+		ActiveRequest request = attempt.activeRequest;
 		boolean firstExecution = request.possibleExecutions == 0;
 		if (firstExecution && request.isAuthenticated() && !this.configuration.hasValidKey(request.head)) {
 			return false;
@@ -216,10 +228,6 @@
 				|| this.serverSelector.isEvacuated(attempt.server.registration.dataCentre()))) {
 			return false;
 		}
-		request.possibleExecutions++;
-		if (attempt.isSuccessor()) {
-			this.migrator.onSuccessorSent(attempt);
-		}
 		return true;
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -15,6 +15,7 @@
 import org.skylarkspring.gateway.http.HttpClientCall;
 import org.skylarkspring.gateway.http.ResponseFraming;
 import org.skylarkspring.gateway.model.DispatchHead;
+import org.skylarkspring.gateway.model.GenerationResumePoint;
 import org.skylarkspring.gateway.model.ResponseHead;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.EventSequenceTracker;
@@ -45,7 +46,7 @@
 
 	final ServerEntry server;
 
-	final DispatchHead dispatchHead;
+	DispatchHead dispatchHead;
 
 	final long startedMillis;
 
@@ -75,6 +76,8 @@
 
 	private final HttpClientCall httpCall;
 
+	private final ClientRequest request = new ClientRequest();
+
 	private ClientResponse response;
 
 	private boolean streaming;
@@ -100,19 +103,31 @@
 	}
 
 	void start() {
-		ClientRequest request = new ClientRequest().setMethod(this.activeRequest.exchange.getRequestMethod())
-			.setPath(pathAndQuery());
-		HeaderMap headers = request.getRequestHeaders();
+		this.request.setMethod(this.activeRequest.exchange.getRequestMethod()).setPath(pathAndQuery());
+		HeaderMap headers = this.request.getRequestHeaders();
 		copyHeaders(this.activeRequest.forwardedHeaders, headers);
 		if (this.activeRequest.body.length > 0
 				|| this.activeRequest.exchange.getRequestHeaders().contains(Headers.CONTENT_LENGTH)) {
 			headers.put(Headers.CONTENT_LENGTH, this.activeRequest.body.length);
 		}
 		this.context.serverProtocol.encodeRequestHeaders(this.dispatchHead, headers);
-		this.httpCall.start(this.server.registration.address(), request, this.activeRequest.body, AttemptTimeouts
+		this.httpCall.start(this.server.registration.address(), this.request, this.activeRequest.body, AttemptTimeouts
 			.connectTimeoutMillis(this.activeRequest.route.targetLatencyMillis(), this.dispatchHead.remainingMillis()));
 	}
 
+	/**
+	 * Sends the request of an attempt that has waited for the source of its generation to
+	 * stop.
+	 * @param resumePoint point from which the generation resumes
+	 * @param remainingMillis time left until the caller's deadline, in milliseconds
+	 */
+	void resumeFrom(GenerationResumePoint resumePoint, long remainingMillis) {
+		this.dispatchHead = this.dispatchHead.resumingFrom(resumePoint, remainingMillis);
+		this.context.serverProtocol.encodeRequestHeaders(this.dispatchHead, this.request.getRequestHeaders());
+		this.sent = true;
+		this.httpCall.send();
+	}
+
 	void cancel() {
 		this.detached = true;
 		cancelResponseTimer();
@@ -163,9 +178,10 @@
 	}
 
 	@Override
-	public boolean beforeSend() {
-		this.sent = this.dispatcher.maySend(this);
-		return this.sent;
+	public HttpClientCall.SendDecision beforeSend() {
+		HttpClientCall.SendDecision decision = this.dispatcher.decideSend(this);
+		this.sent = decision == HttpClientCall.SendDecision.SEND;
+		return decision;
 	}
 
 	@Override
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/DispatchHead.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/DispatchHead.java
@@ -21,4 +21,16 @@
 public record DispatchHead(String expectedServerId, long remainingMillis, Optional<String> workspace,
 		OptionalInt enginePriority, Optional<GenerationResumePoint> resumePoint, Optional<String> resumeAfterEventId,
 		Optional<String> backupAddress) {
+
+	/**
+	 * Returns the same head for a generation that resumes from another point.
+	 * @param newResumePoint point from which the generation resumes
+	 * @param newRemainingMillis time left until the caller's deadline, in milliseconds
+	 * @return the new head
+	 */
+	public DispatchHead resumingFrom(GenerationResumePoint newResumePoint, long newRemainingMillis) {
+		return new DispatchHead(this.expectedServerId, newRemainingMillis, this.workspace, this.enginePriority,
+				Optional.of(newResumePoint), this.resumeAfterEventId, this.backupAddress);
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/port/ServerProtocol.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/port/ServerProtocol.java
@@ -7,6 +7,7 @@
 import org.skylarkspring.gateway.model.DispatchHead;
 import org.skylarkspring.gateway.model.MigrationResult;
 import org.skylarkspring.gateway.model.ResponseHead;
+import org.skylarkspring.gateway.model.StopResult;
 
 /**
  * Encoding of requests to backend servers and decoding of their responses.
@@ -43,6 +44,36 @@
 	 */
 	MigrationResult decodeMigrationResult(HttpTextResult result);
 
+	/**
+	 * Builds the call that asks a server whether it runs a generation.
+	 * @param requestId id of the request
+	 * @param serverAddress address of the server that is asked
+	 * @return the call
+	 */
+	HttpTextRequest buildRunQuery(String requestId, String serverAddress);
+
+	/**
+	 * Decodes the response to a call that asks whether a server runs a generation.
+	 * @param result result of the call
+	 * @return whether the generation has stopped
+	 */
+	StopResult decodeRunQueryResult(HttpTextResult result);
+
+	/**
+	 * Builds the call that stops a running generation. Its server keeps the KV cache.
+	 * @param requestId id of the request that is running
+	 * @param targetAddress address of the server that continues the generation
+	 * @return the call
+	 */
+	HttpTextRequest buildStopRequest(String requestId, String targetAddress);
+
+	/**
+	 * Decodes the response to a call that stops a generation.
+	 * @param result result of the call
+	 * @return whether the generation has stopped
+	 */
+	StopResult decodeStopResult(HttpTextResult result);
+
 	/**
 	 * Builds the call that queries the state of a server.
 	 * @return the call
