Fail a call that cannot be started at once, as not sent

A caller whose request was to be sent to an address such as 300.1.1.1:1 got 500 Internal Server Error. Connecting threw an exception out of start(), through the code that had registered the attempt; the attempt itself ended only at the connect timeout, as if the data centre of the server were unreachable.

HttpClientCallTests$Addresses failed before for all seven addresses and cases: no failure within 4 s (connect timeout 60 s), and the I/O thread logged a task that had failed with an exception.

The exception is now reported through the failure path, as a later task, because the calling code may not have recorded the call yet.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -20,7 +20,8 @@
  * Single HTTP call on a dedicated connection, which is closed when the call ends. Because
  * connections are not reused, a response cannot belong to another call, and a call whose
  * connection could not be established was not sent. The methods must be called on the I/O
- * thread that owns the call, and the listener is called on that thread.
+ * thread that owns the call, and the listener is called on that thread. A call that
+ * cannot be started fails like any other.
  */
 public final class HttpClientCall {
 
@@ -69,8 +70,16 @@
 	public void start(String address, ClientRequest request, byte[] body, long connectTimeoutMillis) {
 		this.connectTimer = this.connector.schedule(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
 				connectTimeoutMillis);
-		this.connector.connect(address, this.headLimit,
-				callback((connected) -> sendRequest(connected, request, body), this::closeLateConnection));
+		try {
+			this.connector.connect(address, this.headLimit,
+					callback((connected) -> sendRequest(connected, request, body), this::closeLateConnection));
+		}
+		catch (RuntimeException ex) {
+			// Such as for a text that is no IP address and port. Reported later, because
+			// the calling code may not have recorded the call yet.
+			IOException failure = new IOException("cannot connect to " + address + ": " + ex.getMessage(), ex);
+			this.connector.execute(() -> fail(failure));
+		}
 	}
 
 	/** Cancels the call and closes its connection. The listener is not called again. */
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
@@ -56,6 +56,14 @@
 		return this.ioThread.executeAfter(task, delayMillis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Runs a task on the I/O thread once the current one has returned.
+	 * @param task the task
+	 */
+	void execute(Runnable task) {
+		this.ioThread.execute(task);
+	}
+
 	PooledByteBuffer allocateBuffer() {
 		return this.bufferPool.allocate();
 	}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/http/HttpClientCallTests.java
@@ -0,0 +1,198 @@
+package org.skylarkspring.gateway.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Methods;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+import static org.hamcrest.Matchers.startsWith;
+
+/**
+ * Tests {@link HttpClientCall} against a server that sends one response on each
+ * connection and keeps the connection open.
+ */
+class HttpClientCallTests {
+
+	private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+	/** Time in which an event that is due occurs. */
+	private static final long EVENT_TIMEOUT_MILLIS = 4_000;
+
+	/** Time in which a second event would occur. */
+	private static final long SILENCE_MILLIS = 100;
+
+	private static final long CONNECT_TIMEOUT_MILLIS = 60_000;
+
+	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<Integer> connectionEnds = new LinkedBlockingQueue<>();
+
+	private final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+	private XnioWorker worker;
+
+	private HttpConnector connector;
+
+	private ServerSocket server;
+
+	@BeforeEach
+	void startServer() throws IOException {
+		this.worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+		this.connector = new HttpConnector(this.worker.getIoThread(0), new DefaultByteBufferPool(true, 8 * 1024));
+		this.server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+		Thread acceptor = new Thread(this::serve);
+		acceptor.setDaemon(true);
+		acceptor.start();
+	}
+
+	@AfterEach
+	void stopServer() throws IOException {
+		this.server.close();
+		for (Socket connection : this.connections) {
+			connection.close();
+		}
+		this.worker.shutdownNow();
+	}
+
+	private void serve() {
+		try {
+			while (true) {
+				Socket connection = this.server.accept();
+				this.connections.add(connection);
+				connection.getInputStream().read(new byte[4 * 1024]);
+				connection.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.UTF_8));
+				this.connectionEnds.add(connection.getInputStream().read());
+			}
+		}
+		catch (IOException ex) {
+			// The test has ended.
+			return;
+		}
+	}
+
+	private void start(String address, String failingCallback) {
+		HttpClientCall call = new HttpClientCall(this.connector, new RecordingListener(failingCallback));
+		ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/");
+		this.worker.getIoThread(0).execute(() -> {
+			call.start(address, request, new byte[0], CONNECT_TIMEOUT_MILLIS);
+			this.events.add("started");
+		});
+	}
+
+	private String serverAddress() {
+		return "127.0.0.1:" + this.server.getLocalPort();
+	}
+
+	private String nextEvent() throws InterruptedException {
+		return this.events.poll(EVENT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private String nextEventOf(String type) throws InterruptedException {
+		String event = nextEvent();
+		while (event != null && !event.startsWith(type)) {
+			event = nextEvent();
+		}
+		return event;
+	}
+
+	private void assertNoFurtherEvent() throws InterruptedException {
+		assertThat(this.events.poll(SILENCE_MILLIS, TimeUnit.MILLISECONDS), nullValue());
+	}
+
+	@Nested
+	class Addresses {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "127.0.0.1:99999", "300.1.1.1:80", "127.0.0.1:-1", "no address", "", "127.0.0.1:1e9" })
+		void callToAddressThatNamesNoServerFailsAsNotSentBeforeTheConnectTimeout(String address)
+				throws InterruptedException {
+			start(address, "none");
+			assertThat(nextEventOf("failure"), startsWith("failure NOT_SENT"));
+			assertNoFurtherEvent();
+		}
+
+		@Test
+		void failureNamesTheAddressAfterTheCallIsStarted() throws InterruptedException {
+			start("127.0.0.1:99999", "none");
+			assertThat(nextEvent(), is("started"));
+			assertThat(nextEvent(), containsString("127.0.0.1:99999"));
+		}
+
+	}
+
+	/**
+	 * Records the callbacks, one of which throws an exception.
+	 */
+	private final class RecordingListener implements HttpClientCall.Listener {
+
+		private final String failingCallback;
+
+		private RecordingListener(String failingCallback) {
+			this.failingCallback = failingCallback;
+		}
+
+		private void throwIf(String callback) {
+			if (this.failingCallback.equals(callback)) {
+				throw new IllegalStateException("exception of " + callback);
+			}
+		}
+
+		@Override
+		public boolean beforeSend() {
+			throwIf("beforeSend");
+			return true;
+		}
+
+		@Override
+		public void onResponseHeaders(ClientResponse response) {
+			throwIf("onResponseHeaders");
+		}
+
+		@Override
+		public boolean onData(ByteBuffer data) {
+			throwIf("onData");
+			data.position(data.limit());
+			return true;
+		}
+
+		@Override
+		public void onComplete() {
+			throwIf("onComplete");
+			HttpClientCallTests.this.events.add("complete");
+		}
+
+		@Override
+		public void onFailure(DeliveryStatus outcome, String reason) {
+			HttpClientCallTests.this.events.add("failure " + outcome + " " + reason);
+			throwIf("onFailure");
+		}
+
+	}
+
+}
