End a call whose listener throws an exception through its failure path

An exception while a response was handled left its call without an end: the connection remained open, and the request waited for its deadline although it might have been retried.

HttpClientCallTests$ListenerExceptions failed before: no failure within 4 s after an exception in beforeSend, onResponseHeaders or onComplete. After one in onData the HTTP client happened to close the connection.

Each step of a call now catches the exception, logs it with its stack trace, closes the connection and reports the failure once, unless the call was cancelled or has failed already.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -10,6 +10,8 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
@@ -21,7 +23,7 @@
  * connections are not reused, a response cannot belong to another call, and a call whose
  * connection could not be established was not sent. The methods must be called on the I/O
  * thread that owns the call, and the listener is called on that thread. A call that
- * cannot be started fails like any other.
+ * cannot be started, or whose listener throws an exception, fails like any other.
  */
 public final class HttpClientCall {
 
@@ -34,6 +36,8 @@
 	 */
 	private static final int READ_BATCH_BYTES = 64 * 1024;
 
+	private static final Logger STATE_LOGGER = LoggerFactory.getLogger("state");
+
 	private final HttpConnector connector;
 
 	private final Listener listener;
@@ -50,6 +54,10 @@
 
 	private boolean closed;
 
+	private boolean cancelled;
+
+	private boolean failureReported;
+
 	/**
 	 * Creates a call, to be started by {@link #start}.
 	 * @param connector opens the connection on the thread that owns the call
@@ -84,6 +92,7 @@
 
 	/** Cancels the call and closes its connection. The listener is not called again. */
 	public void cancel() {
+		this.cancelled = true;
 		close();
 	}
 
@@ -163,7 +172,8 @@
 		this.headLimit.markHeadComplete();
 		ClientResponse response = exchange.getResponse();
 		this.responseChannel = exchange.getResponseChannel();
-		this.responseChannel.getReadSetter().set((ChannelListener<StreamSourceChannel>) this::readBody);
+		this.responseChannel.getReadSetter()
+			.set((ChannelListener<StreamSourceChannel>) (source) -> runStep(() -> readBody(source)));
 		this.listener.onResponseHeaders(response);
 		if (!this.closed) {
 			readBody(this.responseChannel);
@@ -209,8 +219,31 @@
 	private void fail(IOException failure) {
 		if (!this.closed) {
 			close();
-			this.listener.onFailure(this.requestSent ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT,
-					describe(failure));
+			reportFailure(describe(failure));
+		}
+	}
+
+	// The I/O thread only logs an exception, so that the call would have no end.
+	private void runStep(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			STATE_LOGGER.atError().setCause(ex).log("exception while handling a response, ending the call");
+			close();
+			if (!this.cancelled && !this.failureReported) {
+				reportFailure("exception while handling the response: " + ex);
+			}
+		}
+	}
+
+	private void reportFailure(String reason) {
+		this.failureReported = true;
+		try {
+			this.listener.onFailure(this.requestSent ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT, reason);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			STATE_LOGGER.atError().setCause(ex).log("exception while handling the failure of a call");
 		}
 	}
 
@@ -242,7 +275,7 @@
 					late.accept(result);
 				}
 				else {
-					completed.accept(result);
+					runStep(() -> completed.accept(result));
 				}
 			}
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/http/HttpClientCallTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/http/HttpClientCallTests.java
@@ -29,6 +29,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
 import static org.hamcrest.Matchers.startsWith;
@@ -146,6 +147,44 @@
 
 	}
 
+	@Nested
+	class ListenerExceptions {
+
+		@Test
+		void exceptionBeforeSendFailsTheCallAsNotSent() throws InterruptedException {
+			start(serverAddress(), "beforeSend");
+			assertThat(nextEventOf("failure"), startsWith("failure NOT_SENT"));
+			assertNoFurtherEvent();
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "onResponseHeaders", "onData", "onComplete" })
+		void exceptionOfCallbackFailsTheCallOnceAndClosesItsConnection(String callback) throws InterruptedException {
+			start(serverAddress(), callback);
+			assertThat(nextEventOf("failure"), startsWith("failure UNKNOWN exception while handling the response: "
+					+ "java.lang.IllegalStateException: exception of " + callback));
+			assertNoFurtherEvent();
+			assertThat("bytes after the request",
+					HttpClientCallTests.this.connectionEnds.poll(EVENT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), is(-1));
+		}
+
+		@Test
+		void exceptionOfOneCallDoesNotAffectTheNext() throws InterruptedException {
+			start(serverAddress(), "onData");
+			assertThat(nextEventOf("failure"), instanceOf(String.class));
+			start(serverAddress(), "none");
+			assertThat(nextEventOf("complete"), is("complete"));
+		}
+
+		@Test
+		void exceptionOnFailureDoesNotRepeatIt() throws InterruptedException {
+			start("127.0.0.1:99999", "onFailure");
+			assertThat(nextEventOf("failure"), startsWith("failure NOT_SENT"));
+			assertNoFurtherEvent();
+		}
+
+	}
+
 	/**
 	 * Records the callbacks, one of which throws an exception.
 	 */
