Follow the store further after an exception in a callback

An exception while a list, a change or the configuration was handled ended the chain of calls: the I/O thread logged it, and the objects of that kind, or the configuration, were not read any more until a restart.

ObjectInformerTests$Exceptions and ConfigurationPollerTests$Exceptions failed before: the exception of the listener, the decoder or the task left the callback of the store, and no further call was made.

The informer now lists again after such an exception. The poller counts an undecodable configuration as not confirmed, and runs the tasks after a read independently of each other and of the next poll.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationPoller.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ConfigurationPoller.java
@@ -246,10 +246,20 @@
 		});
 	}
 
-	private static void runAndClear(List<Runnable> pendingTasks) {
+	private void runAndClear(List<Runnable> pendingTasks) {
 		List<Runnable> tasks = List.copyOf(pendingTasks);
 		pendingTasks.clear();
-		tasks.forEach(Runnable::run);
+		tasks.forEach(this::runSafely);
+	}
+
+	// A task must prevent neither the others nor the next poll.
+	private void runSafely(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			this.log.logStateChange("task after read of configuration failed", Map.of("error", String.valueOf(ex)));
+		}
 	}
 
 	private boolean applyReadResult(StoreResult result, long startedMillis) {
@@ -288,8 +298,7 @@
 	}
 
 	private boolean applyConfiguration(StoredObject object, long confirmedAtMillis) {
-		Optional<RoutingTable> decoded = isLatest(object) ? Optional.of(this.routingTable)
-				: this.decoder.decodeRoutingTable(object);
+		Optional<RoutingTable> decoded = isLatest(object) ? Optional.of(this.routingTable) : decode(object);
 		if (decoded.isEmpty()) {
 			return false;
 		}
@@ -307,6 +316,20 @@
 		return current;
 	}
 
+	// An exception would end the polls.
+	private Optional<RoutingTable> decode(StoredObject object) {
+		try {
+			return this.decoder.decodeRoutingTable(object);
+		}
+		catch (RuntimeException ex) {
+			if (!this.confirmationFailing) {
+				this.log.logStateChange("configuration could not be decoded",
+						Map.of("revision", object.revision(), "error", String.valueOf(ex)));
+			}
+			return Optional.empty();
+		}
+	}
+
 	/**
 	 * Reads objects of the platform's store, directly or through a relay.
 	 */
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ObjectInformer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ObjectInformer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.model.ObjectChange;
 import org.skylarkspring.gateway.model.ObjectKind;
@@ -64,7 +65,7 @@
 	}
 
 	private void listPage(String afterName, List<StoredObject> collected, StoreRevision firstRevision) {
-		this.store.list(this.kind, afterName, (result) -> {
+		this.store.list(this.kind, afterName, listingAgainAfterException((result) -> {
 			if (result instanceof StoreResult.Listed page) {
 				collected.addAll(page.objects());
 				boolean firstPage = afterName.isEmpty();
@@ -82,7 +83,7 @@
 			else {
 				relistAfterFailure(result);
 			}
-		});
+		}));
 	}
 
 	private void completeList(List<StoredObject> all, StoreRevision watchRevision) {
@@ -105,7 +106,7 @@
 	}
 
 	private void watch() {
-		this.store.watch(this.kind, this.revision, this.watchTimeoutMillis, (result) -> {
+		this.store.watch(this.kind, this.revision, this.watchTimeoutMillis, listingAgainAfterException((result) -> {
 			if (result instanceof StoreResult.Changed changed) {
 				this.revision = this.revision.isBefore(changed.revision()) ? changed.revision() : this.revision;
 				changed.changes().forEach((change) -> applySafely(() -> this.listener.onChanged(change)));
@@ -119,7 +120,21 @@
 			else {
 				relistAfterFailure(result);
 			}
-		});
+		}));
+	}
+
+	// Without a further call to the store, its objects would not be followed any more.
+	private Consumer<StoreResult> listingAgainAfterException(Consumer<StoreResult> handler) {
+		return (result) -> {
+			try {
+				handler.accept(result);
+			}
+			catch (RuntimeException ex) {
+				this.log.logStateChange("result of the store could not be handled, listing again",
+						Map.of("kind", this.kind, "error", String.valueOf(ex)));
+				this.scheduler.schedule(RETRY_DELAY_MILLIS, this::start);
+			}
+		};
 	}
 
 	// Objects come from other writers. One that cannot be applied must not end the watch.
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ConfigurationPollerTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ConfigurationPollerTests.java
@@ -44,6 +44,39 @@
 		return this.poller.routingTable().orElseThrow().version();
 	}
 
+	@Nested
+	class Exceptions {
+
+		private static StoreResult configurationThatDecoderCannotRead() {
+			return new StoreResult.Listed(List.of(new StoredObject("main", 8, new JsonObject())), 8, false);
+		}
+
+		@Test
+		void pollsContinueAfterAnExceptionOfTheDecoder() {
+			ConfigurationPollerTests.this.scheduler.advance(1_000);
+			ConfigurationPollerTests.this.store.completeNextCall(configurationThatDecoderCannotRead());
+			ConfigurationPollerTests.this.scheduler.advance(300);
+			ConfigurationPollerTests.this.store.completeNextCall(configurationWithVersion(9));
+			assertThat(activeVersion(), is(9L));
+		}
+
+		@Test
+		void pollsContinueAfterAnExceptionOfATask() {
+			List<String> run = new ArrayList<>();
+			ConfigurationPollerTests.this.poller.runAfterNextPoll(() -> {
+				throw new IllegalStateException("task");
+			});
+			ConfigurationPollerTests.this.poller.runAfterNextPoll(() -> run.add("next task"));
+			ConfigurationPollerTests.this.scheduler.advance(1_000);
+			ConfigurationPollerTests.this.store.completeNextCall(configurationWithVersion(7));
+			ConfigurationPollerTests.this.scheduler.advance(1_000);
+			ConfigurationPollerTests.this.store.completeNextCall(configurationWithVersion(9));
+			assertThat(activeVersion(), is(9L));
+			assertThat(run, is(List.of("next task")));
+		}
+
+	}
+
 	@Nested
 	class Freshness {
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ObjectInformerTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ObjectInformerTests.java
@@ -30,6 +30,8 @@
 
 	private String unusableName = "";
 
+	private boolean failingWhenUnreachable;
+
 	private final ObjectInformer informer = new ObjectInformer(this.store, this.scheduler, new DecisionLog(),
 			ObjectKind.SERVERS, 4_000, new ObjectInformer.Listener() {
 
@@ -48,6 +50,13 @@
 						.add((change.deleted() ? "removed " : "put ") + change.object().name());
 				}
 
+				@Override
+				public void onStoreUnreachable() {
+					if (ObjectInformerTests.this.failingWhenUnreachable) {
+						throw new IllegalStateException("unreachable");
+					}
+				}
+
 			});
 
 	private static StoredObject object(String name) {
@@ -91,6 +100,23 @@
 
 	}
 
+	@Nested
+	class Exceptions {
+
+		@Test
+		void listsAgainAfterAnExceptionInsteadOfNoLongerFollowingTheObjects() {
+			ObjectInformerTests.this.failingWhenUnreachable = true;
+			ObjectInformerTests.this.informer.start();
+			ObjectInformerTests.this.store.completeNextCall(page(10, false, "a"));
+			ObjectInformerTests.this.store.completeNextCall(new StoreResult.Failed("reset"));
+			ObjectInformerTests.this.scheduler.advance(300);
+			ObjectInformerTests.this.store.completeNextCall(page(11, false, "b"));
+			assertThat(ObjectInformerTests.this.events, contains("list a", "list b"));
+			assertThat(ObjectInformerTests.this.store.onlyPendingCall().verb(), is("watch"));
+		}
+
+	}
+
 	@Nested
 	class Watch {
 
