Apply messages of other instances without their invalid parts

A message with a missing number, a null entry or an object without a name or content threw an exception on the I/O thread that nobody expected. The response of a relay was lost with it, so that the objects of that kind were not followed any more; a null entry among the reported loads would have failed again with each use of the peer's last report.

All exceptions of the JSON library count as an unreadable message now; entries that name no server, or whose numbers would overflow sums, are left out, and an object without content has no fields. If a message still cannot be handled, its connection is closed, so that the peer need not wait.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/HttpRelayClient.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/HttpRelayClient.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 
 import com.google.gson.Gson;
-import com.google.gson.JsonSyntaxException;
+import com.google.gson.JsonParseException;
 import io.undertow.util.Methods;
 
 import org.skylarkspring.gateway.http.HttpTextClient;
@@ -45,7 +45,7 @@
 			return Optional.ofNullable(this.gson.fromJson(answered.body(), RelayResponse.class))
 				.filter(RelayResponse::hasRequiredFields);
 		}
-		catch (JsonSyntaxException ex) {
+		catch (JsonParseException ex) {
 			this.log.logStateChange("cannot parse relay response, treating it as missing",
 					Map.of("reason", String.valueOf(ex)));
 			return Optional.empty();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadReport.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadReport.java
@@ -19,6 +19,12 @@
 record PeerLoadReport(String instanceId, boolean relay, List<ServerLoad> loads, List<ServerIncarnation> draining,
 		List<RateLimit> rateLimits) {
 
+	/** Above any number of requests that instances send to one server. */
+	private static final int MAXIMUM_RUNNING = 1_000_000;
+
+	/** Above any number of tokens on one server. */
+	private static final long MAXIMUM_TOKENS = 1_000_000_000_000L;
+
 	PeerLoadReport(String instanceId, boolean relay, List<ServerLoad> loads, List<ServerIncarnation> draining) {
 		this(instanceId, relay, loads, draining, null);
 	}
@@ -28,8 +34,23 @@
 	}
 
 	boolean hasRequiredFields() {
-		return this.instanceId != null && this.loads != null && this.draining != null
-				&& knownRateLimits().stream().allMatch((limit) -> limit.incarnation() != null);
+		return this.instanceId != null && this.loads != null && this.draining != null;
+	}
+
+	/**
+	 * Returns this report without the entries that name no server or contain numbers that
+	 * cannot be true, so that they do not affect the others.
+	 * @return the report
+	 */
+	PeerLoadReport withoutInvalidEntries() {
+		return new PeerLoadReport(this.instanceId, this.relay,
+				this.loads.stream().filter((load) -> load != null && load.isValid()).toList(),
+				this.draining.stream().filter(PeerLoadReport::isValid).toList(),
+				knownRateLimits().stream().filter((limit) -> limit != null && limit.isValid()).toList());
+	}
+
+	private static boolean isValid(ServerIncarnation incarnation) {
+		return incarnation != null && incarnation.serverId() != null;
 	}
 
 	/**
@@ -43,6 +64,17 @@
 	 */
 	record ServerLoad(String serverId, int running, long promisedTokens, long unreadTokens) {
 
+		boolean isValid() {
+			return this.serverId != null && isBetweenZeroAnd(MAXIMUM_RUNNING, this.running)
+					&& isBetweenZeroAnd(MAXIMUM_TOKENS, this.promisedTokens)
+					&& isBetweenZeroAnd(MAXIMUM_TOKENS, this.unreadTokens);
+		}
+
+		// Bounded, so that sums of many values do not overflow.
+		private static boolean isBetweenZeroAnd(long maximum, long value) {
+			return value >= 0 && value <= maximum;
+		}
+
 		ServerLoad plus(ServerLoad other) {
 			return new ServerLoad(this.serverId, this.running + other.running,
 					this.promisedTokens + other.promisedTokens, this.unreadTokens + other.unreadTokens);
@@ -58,6 +90,12 @@
 	 * @param ageMillis time since the response that said so, in milliseconds
 	 */
 	record RateLimit(ServerIncarnation incarnation, double requestsPerSecond, long ageMillis) {
+
+		boolean isValid() {
+			return PeerLoadReport.isValid(this.incarnation) && Double.isFinite(this.requestsPerSecond)
+					&& this.requestsPerSecond >= 0 && this.ageMillis >= 0;
+		}
+
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadSynchronizer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadSynchronizer.java
@@ -5,7 +5,7 @@
 import java.util.stream.Stream;
 
 import com.google.gson.Gson;
-import com.google.gson.JsonSyntaxException;
+import com.google.gson.JsonParseException;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -139,9 +139,10 @@
 	private Optional<PeerLoadReport> parse(String json) {
 		try {
 			return Optional.ofNullable(this.gson.fromJson(json, PeerLoadReport.class))
-				.filter(PeerLoadReport::hasRequiredFields);
+				.filter(PeerLoadReport::hasRequiredFields)
+				.map(PeerLoadReport::withoutInvalidEntries);
 		}
-		catch (JsonSyntaxException ex) {
+		catch (JsonParseException ex) {
 			this.context.log.logStateChange("cannot parse peer load report", Map.of("reason", String.valueOf(ex)));
 			return Optional.empty();
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerRequestBodies.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerRequestBodies.java
@@ -46,7 +46,7 @@
 				() -> RequestBodyReader.read(exchange, this.limits, this.scheduler, (body) -> {
 					if (body instanceof RequestBody.Complete complete) {
 						this.limits.memory().release(complete.bytes().length);
-						onComplete.accept(new String(complete.bytes(), StandardCharsets.UTF_8));
+						handle(exchange, new String(complete.bytes(), StandardCharsets.UTF_8), onComplete);
 					}
 					else {
 						end(exchange, body);
@@ -54,6 +54,18 @@
 				}));
 	}
 
+	// The peer would wait for a response until its timeout.
+	private void handle(HttpServerExchange exchange, String text, Consumer<String> onComplete) {
+		try {
+			onComplete.accept(text);
+		}
+		catch (RuntimeException ex) {
+			this.log.logStateChange("message of peer could not be handled",
+					Map.of("path", exchange.getRequestPath(), "error", String.valueOf(ex)));
+			IoUtils.safeClose(exchange.getConnection());
+		}
+	}
+
 	private void end(HttpServerExchange exchange, RequestBody body) {
 		this.log.logStateChange("request body of peer not read, ending its call",
 				Map.of("path", exchange.getRequestPath(), "result", String.valueOf(body)));
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayRequest.java
@@ -51,7 +51,7 @@
 
 	boolean hasRequiredFields() {
 		return this.verb != null && this.kind != null && this.source != null && this.told != null
-				&& this.told.stream().allMatch(PeerLoadReport::hasRequiredFields);
+				&& this.told.stream().allMatch((report) -> report != null && report.hasRequiredFields());
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayResponse.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayResponse.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import com.google.gson.JsonObject;
 
@@ -38,15 +39,19 @@
 	}
 
 	List<StoredObject> storedObjects() {
-		return this.objects.stream().map((object) -> object.toStoredObject(this.era)).toList();
+		return usableObjects().map((object) -> object.toStoredObject(this.era)).toList();
 	}
 
 	List<ObjectChange> objectChanges() {
-		return this.objects.stream()
-			.map((object) -> new ObjectChange(object.toStoredObject(this.era), object.deleted()))
+		return usableObjects().map((object) -> new ObjectChange(object.toStoredObject(this.era), object.deleted()))
 			.toList();
 	}
 
+	// An object without a name must not affect the others.
+	private Stream<RelayedObject> usableObjects() {
+		return this.objects.stream().filter((object) -> object != null && object.name() != null);
+	}
+
 	/**
 	 * Kind of result of a relay request.
 	 */
@@ -87,7 +92,8 @@
 		}
 
 		StoredObject toStoredObject(Long era) {
-			return new StoredObject(this.name, new StoreRevision((era != null) ? era : 0, this.revision), this.content);
+			return new StoredObject(this.name, new StoreRevision((era != null) ? era : 0, this.revision),
+					(this.content != null) ? this.content : new JsonObject());
 		}
 
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedObjectStore.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedObjectStore.java
@@ -138,7 +138,7 @@
 
 	private static boolean hasConfiguration(RelayResponse response) {
 		return response.outcome() == RelayResponse.Outcome.UNCHANGED
-				|| (response.outcome() == RelayResponse.Outcome.LISTED && !response.objects().isEmpty());
+				|| (response.outcome() == RelayResponse.Outcome.LISTED && !response.storedObjects().isEmpty());
 	}
 
 	private StoreResult toConfirmedResult(RelayResponse response) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelayHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelayHandler.java
@@ -7,9 +7,10 @@
 import java.util.function.Consumer;
 
 import com.google.gson.Gson;
-import com.google.gson.JsonSyntaxException;
+import com.google.gson.JsonParseException;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import org.xnio.IoUtils;
 
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.StoreResult;
@@ -71,10 +72,21 @@
 			exchange.endExchange();
 			return;
 		}
-		respond(request.get(), (response) -> {
+		respond(request.get(), (response) -> send(exchange, response));
+	}
+
+	// Several exchanges may wait for the same change, which one of them must not keep
+	// from the others.
+	private void send(HttpServerExchange exchange, RelayResponse response) {
+		try {
 			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
 			exchange.getResponseSender().send(this.gson.toJson(response));
-		});
+		}
+		catch (RuntimeException ex) {
+			this.log.logStateChange("relay response could not be sent, closing the connection",
+					Map.of("error", String.valueOf(ex)));
+			IoUtils.safeClose(exchange.getConnection());
+		}
 	}
 
 	private Optional<RelayRequest> parse(String json) {
@@ -82,7 +94,7 @@
 			return Optional.ofNullable(this.gson.fromJson(json, RelayRequest.class))
 				.filter(RelayRequest::hasRequiredFields);
 		}
-		catch (JsonSyntaxException ex) {
+		catch (JsonParseException ex) {
 			this.log.logStateChange("cannot parse relay request of peer, responding with status 400",
 					Map.of("reason", String.valueOf(ex)));
 			return Optional.empty();
@@ -97,7 +109,7 @@
 	 */
 	void respond(RelayRequest request, Consumer<RelayResponse> callback) {
 		long receivedMillis = this.scheduler.nowMillis();
-		request.told().forEach(this.reportConsumer);
+		request.told().stream().map(PeerLoadReport::withoutInvalidEntries).forEach(this.reportConsumer);
 		Consumer<StoreResult> result = (outcome) -> callback
 			.accept(toResponse(request, outcome, this.scheduler.nowMillis() - receivedMillis));
 		switch (request.verb()) {
