Log and count each invalid object of the store once

Invalid entries among those of the servers were ignored without a trace, invalid crash reports were logged each time they were listed, and an entry among those of the instances was used as a relay whatever its address and number of cores. An exception while one entry was decoded would have kept all others of the list from being applied.

Each invalid server, instance and crash report is now logged with its name and the beginning of its content, and counted, when it is first seen and again only after it was valid or gone. Servers are decoded one by one; an exception while generations of a terminating server are migrated no longer ends the update of the table.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -18,9 +18,7 @@
 
 import org.skylarkspring.gateway.GatewaySettings;
 import org.skylarkspring.gateway.http.HttpTextClient;
-import org.skylarkspring.gateway.model.ObjectChange;
 import org.skylarkspring.gateway.model.ObjectKind;
-import org.skylarkspring.gateway.model.StoredObject;
 import org.skylarkspring.gateway.policy.ClusterMember;
 import org.skylarkspring.gateway.policy.PlacementCostFunctions;
 import org.skylarkspring.gateway.port.CallerProtocol;
@@ -223,7 +221,9 @@
 	// Started when the relays are known, so that the store is read through them.
 	private void startReading() {
 		this.configuration.start();
-		startWatch(ObjectKind.SERVERS, SERVER_WATCH_TIMEOUT_MILLIS, new ServerListener());
+		startWatch(ObjectKind.SERVERS, SERVER_WATCH_TIMEOUT_MILLIS,
+				new ServerRegistrationListener(this.decoder, this.servers, this.context.scheduler,
+						new InvalidObjectLog(this.context.log, this.context.metrics, ObjectKind.SERVERS)));
 		startWatch(ObjectKind.EVACUATIONS, EVACUATION_WATCH_TIMEOUT_MILLIS,
 				new EvacuationListener(this.context.scheduler, this.context.log, this.serverSelector));
 		startWatch(ObjectKind.PROMPT_CRASHES, PROMPT_CRASH_WATCH_TIMEOUT_MILLIS, this.promptQuarantine);
@@ -261,7 +261,18 @@
 		this.context.log.logStateChange("server terminating",
 				Map.of("server", entry.registration.id(), "removed", entry.removed, "running", entry.attempts.size()));
 		if (!entry.attempts.isEmpty()) {
-			this.peerLoadSynchronizer.refreshLoadsThen(() -> this.migrator.migrateFromServer(entry));
+			this.peerLoadSynchronizer.refreshLoadsThen(() -> migrateFromServer(entry));
+		}
+	}
+
+	// An exception must not end the update of the server table, which runs this.
+	private void migrateFromServer(ServerEntry entry) {
+		try {
+			this.migrator.migrateFromServer(entry);
+		}
+		catch (RuntimeException ex) {
+			this.context.log.logStateChange("generations of server could not be migrated",
+					Map.of("server", entry.registration.id(), "error", String.valueOf(ex)));
 		}
 	}
 
@@ -273,27 +284,4 @@
 		return this.httpServer.getListenerInfo().stream().map((info) -> (InetSocketAddress) info.getAddress()).toList();
 	}
 
-	/**
-	 * Applies changes of the server list to the server table.
-	 */
-	private final class ServerListener implements ObjectInformer.Listener {
-
-		@Override
-		public void onListed(List<StoredObject> all, boolean afterOutage) {
-			GatewayRuntime.this.servers.replaceAll(all.stream()
-				.flatMap((object) -> GatewayRuntime.this.decoder.decodeServerRegistration(object).stream())
-				.toList(), afterOutage, GatewayRuntime.this.context.scheduler.nowMillis());
-		}
-
-		@Override
-		public void onChanged(ObjectChange change) {
-			long now = GatewayRuntime.this.context.scheduler.nowMillis();
-			GatewayRuntime.this.decoder.decodeServerRegistration(change.object())
-				.filter((registration) -> !change.deleted())
-				.ifPresentOrElse((registration) -> GatewayRuntime.this.servers.addOrUpdate(registration, now),
-						() -> GatewayRuntime.this.servers.remove(change.object().name(), now));
-		}
-
-	}
-
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/InstanceRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/InstanceRegistry.java
@@ -8,8 +8,10 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 
 import org.skylarkspring.gateway.GatewaySettings;
+import org.skylarkspring.gateway.model.Ipv4SocketAddress;
 import org.skylarkspring.gateway.model.ObjectChange;
 import org.skylarkspring.gateway.model.ObjectKind;
 import org.skylarkspring.gateway.model.StoreResult;
@@ -42,6 +44,8 @@
 
 	private final ReappearanceGrace grace;
 
+	private final InvalidObjectLog invalidObjects;
+
 	/** Whether this instance wants to be registered. */
 	private boolean registered;
 
@@ -56,6 +60,7 @@
 		this.store = store;
 		this.peers = peers;
 		this.grace = new ReappearanceGrace(context.scheduler, peers::remove);
+		this.invalidObjects = new InvalidObjectLog(context.log, context.metrics, ObjectKind.INSTANCES);
 	}
 
 	/**
@@ -113,6 +118,7 @@
 	public void onListed(List<StoredObject> all, boolean afterOutage) {
 		Set<String> listed = all.stream().map(StoredObject::name).collect(Collectors.toSet());
 		this.grace.onListed(this.peers.instanceIds(), listed, afterOutage);
+		this.invalidObjects.retainListed(listed);
 		all.forEach(this::updatePeer);
 		if (!listed.contains(this.context.settings.instanceId())) {
 			registerAgain();
@@ -123,6 +129,9 @@
 	@Override
 	public void onChanged(ObjectChange change) {
 		this.grace.onChanged(change.object().name());
+		if (change.deleted()) {
+			this.invalidObjects.forget(change.object().name());
+		}
 		if (change.deleted() && change.object().name().equals(this.context.settings.instanceId())) {
 			registerAgain();
 		}
@@ -144,18 +153,26 @@
 		}
 	}
 
+	// An invalid object does not replace what is known of an instance, which still runs.
 	private void updatePeer(StoredObject object) {
-		Optional<String> dataCentre = primitiveValue(object, DATA_CENTRE_KEY).map(JsonElement::getAsString);
-		double cores = primitiveValue(object, CORES_KEY).filter((value) -> value.getAsJsonPrimitive().isNumber())
-			.map(JsonElement::getAsDouble)
+		Optional<String> address = primitiveValue(object, PEER_ADDRESS_KEY).map(JsonPrimitive::getAsString)
+			.filter(Ipv4SocketAddress::isValid);
+		double cores = primitiveValue(object, CORES_KEY).filter(JsonPrimitive::isNumber)
+			.map(JsonPrimitive::getAsDouble)
 			.orElse(0.0);
-		primitiveValue(object, PEER_ADDRESS_KEY).map(JsonElement::getAsString)
-			.ifPresent((address) -> this.peers
-				.addOrUpdate(new ClusterMember(object.name(), dataCentre.orElse(""), cores), address));
+		if (address.isEmpty() || !Double.isFinite(cores)) {
+			this.invalidObjects.recordInvalid(object, "describes no usable instance");
+			return;
+		}
+		this.invalidObjects.forget(object.name());
+		String dataCentre = primitiveValue(object, DATA_CENTRE_KEY).map(JsonPrimitive::getAsString).orElse("");
+		this.peers.addOrUpdate(new ClusterMember(object.name(), dataCentre, cores), address.get());
 	}
 
-	private static Optional<JsonElement> primitiveValue(StoredObject object, String name) {
-		return Optional.ofNullable(object.content().get(name)).filter(JsonElement::isJsonPrimitive);
+	private static Optional<JsonPrimitive> primitiveValue(StoredObject object, String name) {
+		return Optional.ofNullable(object.content().get(name))
+			.filter(JsonElement::isJsonPrimitive)
+			.map(JsonElement::getAsJsonPrimitive);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PromptQuarantine.java
@@ -49,6 +49,8 @@
 
 	private final ReappearanceGrace grace;
 
+	private final InvalidObjectLog invalidObjects;
+
 	/** Reports of this instance that the store has confirmed, by name. */
 	private final Map<String, PromptCrash> ownReports = new HashMap<>();
 
@@ -65,6 +67,7 @@
 		this.store = store;
 		this.activeRequests = activeRequests;
 		this.grace = new ReappearanceGrace(context.scheduler, this::removeLost);
+		this.invalidObjects = new InvalidObjectLog(context.log, context.metrics, ObjectKind.PROMPT_CRASHES);
 	}
 
 	/**
@@ -152,6 +155,7 @@
 	@Override
 	public void onListed(List<StoredObject> all, boolean afterOutage) {
 		Set<String> listed = all.stream().map(StoredObject::name).collect(Collectors.toSet());
+		this.invalidObjects.retainListed(listed);
 		if (this.returnedFromCopy) {
 			writeLostReports(listed);
 		}
@@ -189,6 +193,7 @@
 	public void onChanged(ObjectChange change) {
 		this.grace.onChanged(change.object().name());
 		if (change.deleted()) {
+			this.invalidObjects.forget(change.object().name());
 			this.table.remove(change.object().name());
 		}
 		else {
@@ -207,21 +212,19 @@
 				.filter(PromptCrash::hasRequiredFields)
 				.filter((decoded) -> decoded.name().equals(object.name()));
 			if (crash.isEmpty()) {
-				logInvalid(object, "fields missing or not those of the name");
+				this.invalidObjects.recordInvalid(object, "fields missing or not those of the name");
+			}
+			else {
+				this.invalidObjects.forget(object.name());
 			}
 			return crash;
 		}
 		catch (JsonParseException ex) {
-			logInvalid(object, String.valueOf(ex));
+			this.invalidObjects.recordInvalid(object, String.valueOf(ex));
 			return Optional.empty();
 		}
 	}
 
-	private void logInvalid(StoredObject object, String reason) {
-		this.context.log.logStateChange("invalid crash report ignored",
-				Map.of("name", object.name(), "reason", reason));
-	}
-
 	private boolean add(PromptCrash crash) {
 		if (this.table.isFull()) {
 			this.context.log.logStateChange("too many crash reports, report ignored", Map.of("name", crash.name()));
