--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -10,6 +10,8 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
@@ -20,7 +22,8 @@
  * Single HTTP call on a dedicated connection, which is closed when the call ends. Because
  * connections are not reused, a response cannot belong to another call, and a call whose
  * connection could not be established was not sent. The methods must be called on the I/O
- * thread that owns the call, and the listener is called on that thread.
+ * thread that owns the call, and the listener is called on that thread. A call that
+ * cannot be started, or whose listener throws an exception, fails like any other.
  */
 public final class HttpClientCall {
 
@@ -33,6 +36,8 @@
 	 */
 	private static final int READ_BATCH_BYTES = 64 * 1024;
 
+	private static final Logger STATE_LOGGER = LoggerFactory.getLogger("state");
+
 	private final HttpConnector connector;
 
 	private final Listener listener;
@@ -52,6 +57,10 @@
 
 	private boolean closed;
 
+	private boolean cancelled;
+
+	private boolean failureReported;
+
 	/**
 	 * Creates a call, to be started by {@link #start}.
 	 * @param connector opens the connection on the thread that owns the call
@@ -72,8 +81,16 @@
 	public void start(String address, ClientRequest request, byte[] body, long connectTimeoutMillis) {
 		this.connectTimer = this.connector.schedule(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
 				connectTimeoutMillis);
-		this.connector.connect(address, this.headLimit,
-				callback((connected) -> onConnected(connected, request, body), this::closeLateConnection));
+		try {
+			this.connector.connect(address, this.headLimit,
+					callback((connected) -> onConnected(connected, request, body), this::closeLateConnection));
+		}
+		catch (RuntimeException ex) {
+			// Such as for a text that is no IP address and port. Reported later, because
+			// the calling code may not have recorded the call yet.
+			IOException failure = new IOException("cannot connect to " + address + ": " + ex.getMessage(), ex);
+			this.connector.execute(() -> fail(failure));
+		}
 	}
 
 	/**
@@ -84,12 +101,13 @@
 		Runnable send = this.pendingSend;
 		this.pendingSend = null;
 		if (send != null && !this.closed) {
-			send.run();
+			runStep(send);
 		}
 	}
 
 	/** Cancels the call and closes its connection. The listener is not called again. */
 	public void cancel() {
+		this.cancelled = true;
 		close();
 	}
 
@@ -176,7 +194,8 @@
 		this.headLimit.markHeadComplete();
 		ClientResponse response = exchange.getResponse();
 		this.responseChannel = exchange.getResponseChannel();
-		this.responseChannel.getReadSetter().set((ChannelListener<StreamSourceChannel>) this::readBody);
+		this.responseChannel.getReadSetter()
+			.set((ChannelListener<StreamSourceChannel>) (source) -> runStep(() -> readBody(source)));
 		this.listener.onResponseHeaders(response);
 		if (!this.closed) {
 			readBody(this.responseChannel);
@@ -222,8 +241,31 @@
 	private void fail(IOException failure) {
 		if (!this.closed) {
 			close();
-			this.listener.onFailure(this.requestSent ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT,
-					describe(failure));
+			reportFailure(describe(failure));
+		}
+	}
+
+	// The I/O thread only logs an exception, so that the call would have no end.
+	private void runStep(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			STATE_LOGGER.atError().setCause(ex).log("exception while handling a response, ending the call");
+			close();
+			if (!this.cancelled && !this.failureReported) {
+				reportFailure("exception while handling the response: " + ex);
+			}
+		}
+	}
+
+	private void reportFailure(String reason) {
+		this.failureReported = true;
+		try {
+			this.listener.onFailure(this.requestSent ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT, reason);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			STATE_LOGGER.atError().setCause(ex).log("exception while handling the failure of a call");
 		}
 	}
 
@@ -255,7 +297,7 @@
 					late.accept(result);
 				}
 				else {
-					completed.accept(result);
+					runStep(() -> completed.accept(result));
 				}
 			}
 
