Do not take bytes between chunks for the end of a response

A server wrote a refusal between two chunks of a running stream. Callers got the events before it and a last chunk, so that the truncated stream looked complete. Undertow's client takes a chunk line without a size for the last chunk. The bytes of the connection are now checked next to the client, and a body whose chunks were malformed ends as a failure.

Seen failing: ErrorAfterStreamBeganTests.ErrorInsideStream .refusalOutsideChunksDoesNotReachCaller, CHUNKED, with the call of requireValid() removed: "complete" expected false, was true.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HeadLimitingConduit.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HeadLimitingConduit.java
@@ -2,38 +2,51 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Conduit that applies a {@link ResponseHeadLimit} to the bytes read from a connection.
+ * Conduit that applies a {@link ResponseHeadLimit} and its {@link ResponseChunkCheck} to
+ * the bytes read from a connection.
  */
 final class HeadLimitingConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
 	private final ResponseHeadLimit limit;
 
+	private final ResponseChunkCheck chunkCheck;
+
 	HeadLimitingConduit(StreamSourceConduit next, ResponseHeadLimit limit) {
 		super(next);
 		this.limit = limit;
+		this.chunkCheck = limit.chunkCheck();
 	}
 
 	@Override
 	public int read(ByteBuffer buffer) throws IOException {
+		int start = buffer.position();
 		int count = super.read(buffer);
-		if (count > 0) {
-			this.limit.countReceived(count);
-		}
+		receive(buffer, start);
 		return count;
 	}
 
 	@Override
 	public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
+		int[] starts = Arrays.stream(buffers).mapToInt(ByteBuffer::position).toArray();
 		long count = super.read(buffers, offset, length);
-		if (count > 0) {
-			this.limit.countReceived((int) count);
+		for (int index = offset; index < offset + length; index++) {
+			receive(buffers[index], starts[index]);
 		}
 		return count;
 	}
 
+	private void receive(ByteBuffer buffer, int start) throws IOException {
+		int count = buffer.position() - start;
+		if (count > 0) {
+			this.chunkCheck.receive(buffer.duplicate().flip().position(start));
+			this.limit.countReceived(count);
+		}
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -180,6 +180,7 @@
 					return;
 				}
 				if (count < 0) {
+					this.headLimit.chunkCheck().requireValid();
 					close();
 					this.listener.onComplete();
 					return;
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChunkCheck.java
@@ -0,0 +1,149 @@
+package org.skylarkspring.gateway.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.regex.Pattern;
+
+/**
+ * Checks the size lines of a chunked response body on the bytes of its connection. The
+ * HTTP client takes a line without a size for the last chunk, so that a body would look
+ * complete where the server wrote something else into it.
+ */
+final class ResponseChunkCheck {
+
+	/** Number of characters of a line that are kept; the others are not needed. */
+	private static final int MAXIMUM_KEPT_CHARACTERS = 200;
+
+	private static final Pattern CONTINUE = Pattern.compile("^HTTP/\\S+ 100\\b");
+
+	private static final int HEXADECIMAL = 16;
+
+	/** More digits would exceed the range of a number, and no chunk is that large. */
+	private static final int MAXIMUM_SIZE_DIGITS = 15;
+
+	private final StringBuilder line = new StringBuilder();
+
+	private State state = State.STATUS_LINE;
+
+	private boolean interim;
+
+	private boolean chunked;
+
+	private long remainingChunkBytes;
+
+	private String fault = "";
+
+	/**
+	 * Receives bytes of the connection.
+	 * @param bytes the bytes, in the order of the connection
+	 */
+	void receive(ByteBuffer bytes) {
+		while (bytes.hasRemaining() && this.state != State.ENDED) {
+			if (this.remainingChunkBytes > 0) {
+				skipChunkBytes(bytes);
+			}
+			else {
+				receiveLineByte((char) (bytes.get() & 0xff));
+			}
+		}
+	}
+
+	/**
+	 * Fails if the response is chunked and a chunk did not begin with its size.
+	 * @throws IOException if the end of the body cannot be trusted
+	 */
+	void requireValid() throws IOException {
+		if (!this.fault.isEmpty()) {
+			throw new IOException(this.fault);
+		}
+	}
+
+	private void skipChunkBytes(ByteBuffer bytes) {
+		int count = (int) Math.min(this.remainingChunkBytes, bytes.remaining());
+		bytes.position(bytes.position() + count);
+		this.remainingChunkBytes -= count;
+	}
+
+	private void receiveLineByte(char next) {
+		if (next == '\n') {
+			String complete = this.line.toString().strip();
+			this.line.setLength(0);
+			onLine(complete);
+		}
+		else if (this.line.length() < MAXIMUM_KEPT_CHARACTERS) {
+			this.line.append(next);
+			checkSizeCharacter(next);
+		}
+	}
+
+	// The client may take the line for the last chunk before the line has ended.
+	private void checkSizeCharacter(char next) {
+		boolean extension = this.line.indexOf(";") >= 0;
+		boolean sizeExpected = this.state == State.CHUNK_SIZE && !extension;
+		boolean strayByte = this.state == State.CHUNK_END && next != '\r';
+		if (strayByte || (sizeExpected && !isSizeCharacter(next))) {
+			end("response has \"" + this.line.toString().strip() + "\" where the size of a chunk is expected");
+		}
+	}
+
+	private boolean isSizeCharacter(char next) {
+		boolean first = this.line.length() == 1;
+		return Character.digit(next, HEXADECIMAL) >= 0 || (!first && Character.isWhitespace(next));
+	}
+
+	private void onLine(String text) {
+		switch (this.state) {
+			case STATUS_LINE -> {
+				this.interim = CONTINUE.matcher(text).find();
+				this.state = State.HEADERS;
+			}
+			case HEADERS -> onHeader(text.toLowerCase(Locale.ROOT));
+			case CHUNK_SIZE -> onChunkSize(text);
+			case CHUNK_END -> {
+				this.state = State.CHUNK_SIZE;
+			}
+			default -> throw new IllegalStateException("line after the end of the response: " + text);
+		}
+	}
+
+	private void onHeader(String header) {
+		if (header.startsWith("transfer-encoding:")) {
+			this.chunked = header.contains("chunked");
+		}
+		if (!header.isEmpty()) {
+			return;
+		}
+		if (this.interim) {
+			this.state = State.STATUS_LINE;
+			return;
+		}
+		this.state = this.chunked ? State.CHUNK_SIZE : State.ENDED;
+	}
+
+	private void onChunkSize(String text) {
+		String digits = text.split("[;\\s]", 2)[0];
+		if (digits.isEmpty() || digits.length() > MAXIMUM_SIZE_DIGITS) {
+			end("chunk of the response has the size \"" + digits + "\"");
+			return;
+		}
+		this.remainingChunkBytes = Long.parseLong(digits, HEXADECIMAL);
+		this.state = (this.remainingChunkBytes > 0) ? State.CHUNK_END : State.ENDED;
+	}
+
+	private void end(String description) {
+		this.fault = description;
+		this.state = State.ENDED;
+	}
+
+	/**
+	 * Part of the response that the next byte belongs to. The bytes of a chunk precede
+	 * {@code CHUNK_END}.
+	 */
+	private enum State {
+
+		STATUS_LINE, HEADERS, CHUNK_SIZE, CHUNK_END, ENDED
+
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseHeadLimit.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseHeadLimit.java
@@ -11,10 +11,20 @@
 	/** Maximum size of a response head, many times that of a usual one. */
 	static final int MAXIMUM_HEAD_BYTES = 32 * 1024;
 
+	private final ResponseChunkCheck chunkCheck = new ResponseChunkCheck();
+
 	private int receivedBytes;
 
 	private boolean headComplete;
 
+	/**
+	 * Returns the check of the chunks that follow the head.
+	 * @return the check for the same connection
+	 */
+	ResponseChunkCheck chunkCheck() {
+		return this.chunkCheck;
+	}
+
 	/** Records that the head is complete, so that further bytes are not limited. */
 	void markHeadComplete() {
 		this.headComplete = true;
