Send each request of an entry instance on a new connection

A backend wrote an earlier refusal once more on a kept connection. A generation that the engine executed was reported with the verdict not-run, and the next caller of a plain service got the other request's bytes. Only calls that must not be retried had connections of their own; generations and idempotent calls reused idle ones. Now no request of a caller does.

--- a/bench/src/test/java/org/skylarkspring/bench/standin/LocalStack.java
+++ b/bench/src/test/java/org/skylarkspring/bench/standin/LocalStack.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 import io.undertow.Undertow;
 
@@ -56,6 +57,18 @@
 	private final List<Undertow> standIns = new ArrayList<>();
 
 	LocalStack(Path folder, long bodyTimeoutMillis) throws IOException {
+		this(folder, bodyTimeoutMillis, UnaryOperator.identity());
+	}
+
+	/**
+	 * Starts the entry instance and the stand-ins.
+	 * @param folder folder for the configuration
+	 * @param bodyTimeoutMillis timeout for the bodies of callers, in milliseconds
+	 * @param backendAddress returns the address under which a backend is listed, given
+	 * the address that it listens on
+	 * @throws IOException if the configuration cannot be written
+	 */
+	LocalStack(Path folder, long bodyTimeoutMillis, UnaryOperator<String> backendAddress) throws IOException {
 		String platformAddress = findFreeAddress();
 		String plainAddress = findFreeAddress();
 		this.standIns.add(ObjectApiStandIn.start(platformAddress));
@@ -66,8 +79,8 @@
 				2);
 		new EntryInstance(settings).start();
 		List<InstanceRecord> instances = List.of(instanceRecord("entry-1", InstanceRole.ENTRY, "", this.controlAddress),
-				instanceRecord("engine-1", InstanceRole.BACKEND, "inyigisho", this.engineAddress),
-				instanceRecord("plain-1", InstanceRole.BACKEND, "inguzanyo", plainAddress));
+				instanceRecord("engine-1", InstanceRole.BACKEND, "inyigisho", backendAddress.apply(this.engineAddress)),
+				instanceRecord("plain-1", InstanceRole.BACKEND, "inguzanyo", backendAddress.apply(plainAddress)));
 		this.client.call(HttpClientRequest.put(platformAddress, "/objects/instances?version=0", Json.write(instances)))
 			.join();
 		publishConfiguration(folder);
--- a/entry/src/main/java/org/skylarkspring/entry/http/HttpClientRequest.java
+++ b/entry/src/main/java/org/skylarkspring/entry/http/HttpClientRequest.java
@@ -15,9 +15,9 @@
  * @param path path and query string
  * @param headers headers by name
  * @param body text of the body, empty for none
- * @param connectionReuseAllowed whether an idle connection may be reused; a request that
- * must not run twice always opens a new connection, so that a connect failure proves that
- * it has not run
+ * @param connectionReuseAllowed whether an idle connection may be reused; a caller's
+ * request to a backend always opens a new connection, so that a connect failure proves
+ * that it has not run and no late response to another request is taken for its own
  */
 public record HttpClientRequest(String address, HttpString method, String path, Map<String, String> headers,
 		Optional<String> body, boolean connectionReuseAllowed) {
@@ -67,6 +67,15 @@
 				this.connectionReuseAllowed);
 	}
 
+	/**
+	 * Returns a copy of this request that neither reuses a connection nor leaves its own
+	 * to another request.
+	 * @return the new request
+	 */
+	public HttpClientRequest onNewConnection() {
+		return new HttpClientRequest(this.address, this.method, this.path, this.headers, this.body, false);
+	}
+
 	private static HttpClientRequest createWithJsonBody(String address, HttpString method, String path, String body) {
 		return new HttpClientRequest(address, method, path, Map.of("Content-Type", "application/json"),
 				Optional.of(body), true);
--- a/entry/src/main/java/org/skylarkspring/entry/internal/CompletionExchange.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/CompletionExchange.java
@@ -106,7 +106,7 @@
 			return;
 		}
 		this.backendExchange = new HttpClientExchange(this.context.connectionPool(), ioThread(),
-				createBackendRequest(action), new BackendResponseListener(action.attemptId()));
+				createBackendRequest(action).onNewConnection(), new BackendResponseListener(action.attemptId()));
 		this.backendExchange.start();
 	}
 
--- a/entry/src/main/java/org/skylarkspring/entry/internal/PlainExchange.java
+++ b/entry/src/main/java/org/skylarkspring/entry/internal/PlainExchange.java
@@ -152,7 +152,7 @@
 					.orElse("application/octet-stream"),
 				"X-Request-Id", this.context.settings().instanceId() + "-" + this.requestId + "-" + this.attemptId);
 		HttpClientRequest request = new HttpClientRequest(action.address(), this.exchange.getRequestMethod(), this.path,
-				headers, requestBody, this.spec.idempotent());
+				headers, requestBody, false);
 		return this.spec.idempotencyKey().map((key) -> request.withHeader("Idempotency-Key", key)).orElse(request);
 	}
 
