Believe a refusal only if it carries the id of the request

A server wrote a refusal without Request-Id on accept, or while it executed the request. The request was sent to a second server, and its caller was told 503, not executed. Only a wrong id was checked, not a missing one, and a success with Not-Executed counted as a refusal too. Servers echo the id, so a refusal without it belongs to no known request: the request may have run.

Refusals with another id were refused before as well.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -18,6 +18,7 @@
 import org.skylarkspring.gateway.model.ResponseHead;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.EventSequenceTracker;
+import org.skylarkspring.gateway.policy.ResponseHeadCheck;
 import org.skylarkspring.gateway.policy.SseEvent;
 import org.skylarkspring.gateway.policy.SseEventSplitter;
 
@@ -174,15 +175,17 @@
 		int status = received.getResponseCode();
 		ResponseHead responseHead = this.context.serverProtocol.decodeResponseHeaders(status,
 				received.getResponseHeaders());
-		if (responseHead.requestId().isPresent() && !responseHead.requestId().get().equals(this.activeRequest.id())) {
-			cancelAndReport(() -> this.dispatcher.outcomes()
-				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "response carries the id of another request"));
-			return;
-		}
-		if (status != MISDIRECTED_REQUEST) {
+		ResponseHeadCheck check = new ResponseHeadCheck(status, responseHead, this.activeRequest.id());
+		if (status != MISDIRECTED_REQUEST && check.mayBelongToRequest()) {
 			recordServerState(responseHead);
 		}
-		if (responseHead.notExecuted() || status == MISDIRECTED_REQUEST) {
+		Optional<String> fault = check.describeFault();
+		if (fault.isPresent()) {
+			cancelAndReport(
+					() -> this.dispatcher.outcomes().onAttemptFailed(this, DeliveryStatus.UNKNOWN, fault.get()));
+			return;
+		}
+		if (check.isRefusal()) {
 			cancelAndReport(() -> this.dispatcher.outcomes().onNotExecuted(this, status));
 			return;
 		}
