Do not pass on a server's status that promises callers no execution

A server executed a request and answered 408, 429 or 503 without Not-Executed. The status was passed on, and to callers it is the promise that the request has not run. Only Not-Executed states this, so the outcome is now unknown: 502, or a retry where the route allows it.

--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/ResponseHeadCheck.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/ResponseHeadCheck.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.policy;
 
 import java.util.Optional;
+import java.util.Set;
 
 import org.skylarkspring.gateway.model.ResponseHead;
 
@@ -20,6 +21,9 @@
 
 	private static final int MISDIRECTED_REQUEST = 421;
 
+	/** Status codes that tell a caller that its request was not executed. */
+	private static final Set<Integer> PROMISES_TO_CALLERS = Set.of(408, MISDIRECTED_REQUEST, 429, 503);
+
 	/**
 	 * Returns whether the response may belong to the request.
 	 * @return {@code false} if it carries the id of another request
@@ -54,7 +58,9 @@
 			return Optional.of("status " + this.status + " claims that the request was not executed, id "
 					+ this.head.requestId().orElse("missing"));
 		}
-		return Optional.empty();
+		return PROMISES_TO_CALLERS.contains(this.status)
+				? Optional.of("status " + this.status + " without the statement that the request was not executed")
+				: Optional.empty();
 	}
 
 	private boolean claimsNotExecuted() {
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/ResponseHeadCheckTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/ResponseHeadCheckTests.java
@@ -77,6 +77,12 @@
 			assertThat(check(200, Optional.of("other"), false).mayBelongToRequest(), is(false));
 		}
 
+		@ParameterizedTest
+		@ValueSource(ints = { 408, 429, 503 })
+		void promiseToCallersWithoutStatementOfServerIsFault(int status) {
+			assertFault(check(status, Optional.of("own"), false), "status " + status + " without the statement");
+		}
+
 		@Test
 		void successThatClaimsRequestWasNotExecutedIsFault() {
 			assertFault(check(200, Optional.of("own"), true), "status 200 claims");
