Do not take an interim response for the response

Callers of a server that sent 103 before its response got 103 as the final response, or 503 if it carried Not-Executed. Undertow's client skips 100 only and ends the call at any other interim response. Such a call now fails with an unknown outcome.

--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/ResponseHeadCheck.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/ResponseHeadCheck.java
@@ -17,6 +17,8 @@
  */
 public record ResponseHeadCheck(int status, ResponseHead head, String requestId) {
 
+	private static final int LOWEST_FINAL_STATUS = 200;
+
 	private static final int LOWEST_ERROR_STATUS = 400;
 
 	private static final int MISDIRECTED_REQUEST = 421;
@@ -51,6 +53,9 @@
 		if (!mayBelongToRequest()) {
 			return Optional.of("response carries the id of another request");
 		}
+		if (this.status < LOWEST_FINAL_STATUS) {
+			return Optional.of("interim status " + this.status + " instead of a response");
+		}
 		if (isRefusal()) {
 			return Optional.empty();
 		}
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/ResponseHeadCheckTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/ResponseHeadCheckTests.java
@@ -88,6 +88,12 @@
 			assertFault(check(200, Optional.of("own"), true), "status 200 claims");
 		}
 
+		@ParameterizedTest
+		@ValueSource(ints = { 101, 102, 103 })
+		void interimResponseIsFault(int status) {
+			assertFault(check(status, Optional.of("own"), true), "interim status " + status);
+		}
+
 	}
 
 }
