Continue a stream only with an event stream

A stream had begun and broke off, and the next server answered 200 with a text that was not an event stream. The text was relayed in the middle of the caller's stream, which then ended as complete. Whatever had status 200 on a streaming route counted as a stream. A response that continues one must now be text/event-stream; the first response is relayed as before.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -42,6 +43,8 @@
 
 	private static final int LOWEST_ERROR_STATUS = 400;
 
+	private static final String EVENT_STREAM = "text/event-stream";
+
 	final ActiveRequest activeRequest;
 
 	final ServerEntry server;
@@ -195,7 +198,8 @@
 				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "response is unsigned or has a content encoding"));
 			return;
 		}
-		this.streaming = status == OK && this.activeRequest.route.semantics().isStreaming();
+		this.streaming = status == OK && this.activeRequest.route.semantics().isStreaming()
+				&& (beginsResponse() || isEventStream(received));
 		if (this.activeRequest.isCommitted() && !this.streaming) {
 			// The caller has received part of a stream, which only a stream can complete.
 			cancelAndReport(() -> this.dispatcher.outcomes()
@@ -209,6 +213,15 @@
 		}
 	}
 
+	private boolean beginsResponse() {
+		return !this.activeRequest.isCommitted() && !isSuccessor();
+	}
+
+	private static boolean isEventStream(ClientResponse received) {
+		String contentType = received.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
+		return contentType != null && contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+	}
+
 	private void recordServerState(ResponseHead responseHead) {
 		this.dispatcher.serverRateLimits().recordResponse(this.server, responseHead.rateLimit());
 		responseHead.backoffMillis().ifPresent(this::recordBackoff);
