Keep responses written into a stream from the caller

A server wrote a refusal into its running stream. Callers found the whole head of the refusal between two events, or within one. The empty line at its end made the head an event without id, which was relayed as received. An event may now consist only of comments and of fields, whose names are in lowercase; anything else ends the attempt, and the stream is resumed where its route allows it or aborted.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -267,6 +267,11 @@
 
 	private boolean onEvent(SseEvent event) {
 		this.receivedEvents++;
+		if (!event.hasOnlyFields()) {
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "stream contains a line that belongs to no event"));
+			return true;
+		}
 		if (isSuccessor()) {
 			this.dispatcher.outcomes().onSuccessorEvent(this);
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/SseEvent.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/SseEvent.java
@@ -1,5 +1,6 @@
 package org.skylarkspring.gateway.policy;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -9,4 +10,27 @@
  * @param id id of the event, empty if it has none
  */
 public record SseEvent(byte[] bytes, Optional<String> id) {
+
+	/**
+	 * Returns whether all lines are fields or comments. The names of fields are in
+	 * lowercase, unlike the status line and the headers of a response that a faulty
+	 * server writes into its stream.
+	 * @return {@code false} if a line does not belong to a stream of events
+	 */
+	public boolean hasOnlyFields() {
+		return new String(this.bytes, StandardCharsets.ISO_8859_1).lines().allMatch(SseEvent::isFieldOrComment);
+	}
+
+	private static boolean isFieldOrComment(String line) {
+		int colon = line.indexOf(':');
+		String name = (colon >= 0) ? line.substring(0, colon) : line;
+		return name.chars().allMatch(SseEvent::isNameCharacter);
+	}
+
+	private static boolean isNameCharacter(int character) {
+		boolean letter = character >= 'a' && character <= 'z';
+		boolean digit = character >= '0' && character <= '9';
+		return letter || digit || character == '-' || character == '_';
+	}
+
 }
