--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -19,6 +20,7 @@
 import org.skylarkspring.gateway.model.ResponseHead;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.EventSequenceTracker;
+import org.skylarkspring.gateway.policy.ResponseHeadCheck;
 import org.skylarkspring.gateway.policy.SseEvent;
 import org.skylarkspring.gateway.policy.SseEventSplitter;
 
@@ -42,6 +44,8 @@
 
 	private static final int LOWEST_ERROR_STATUS = 400;
 
+	private static final String EVENT_STREAM = "text/event-stream";
+
 	final ActiveRequest activeRequest;
 
 	final ServerEntry server;
@@ -190,15 +194,17 @@
 		int status = received.getResponseCode();
 		ResponseHead responseHead = this.context.serverProtocol.decodeResponseHeaders(status,
 				received.getResponseHeaders());
-		if (responseHead.requestId().isPresent() && !responseHead.requestId().get().equals(this.activeRequest.id())) {
-			cancelAndReport(() -> this.dispatcher.outcomes()
-				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "response carries the id of another request"));
-			return;
-		}
-		if (status != MISDIRECTED_REQUEST) {
+		ResponseHeadCheck check = new ResponseHeadCheck(status, responseHead, this.activeRequest.id());
+		if (status != MISDIRECTED_REQUEST && check.mayBelongToRequest()) {
 			recordServerState(responseHead);
 		}
-		if (responseHead.notExecuted() || status == MISDIRECTED_REQUEST) {
+		Optional<String> fault = check.describeFault();
+		if (fault.isPresent()) {
+			cancelAndReport(
+					() -> this.dispatcher.outcomes().onAttemptFailed(this, DeliveryStatus.UNKNOWN, fault.get()));
+			return;
+		}
+		if (check.isRefusal()) {
 			cancelAndReport(() -> this.dispatcher.outcomes().onNotExecuted(this, status));
 			return;
 		}
@@ -208,7 +214,8 @@
 				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "response is unsigned or has a content encoding"));
 			return;
 		}
-		this.streaming = status == OK && this.activeRequest.route.semantics().isStreaming();
+		this.streaming = status == OK && this.activeRequest.route.semantics().isStreaming()
+				&& (beginsResponse() || isEventStream(received));
 		if (this.activeRequest.isCommitted() && !this.streaming) {
 			// The caller has received part of a stream, which only a stream can complete.
 			cancelAndReport(() -> this.dispatcher.outcomes()
@@ -222,6 +229,15 @@
 		}
 	}
 
+	private boolean beginsResponse() {
+		return !this.activeRequest.isCommitted() && !isSuccessor();
+	}
+
+	private static boolean isEventStream(ClientResponse received) {
+		String contentType = received.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
+		return contentType != null && contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+	}
+
 	private void recordServerState(ResponseHead responseHead) {
 		this.dispatcher.serverRateLimits().recordResponse(this.server, responseHead.rateLimit());
 		responseHead.backoffMillis().ifPresent(this::recordBackoff);
@@ -267,6 +283,11 @@
 
 	private boolean onEvent(SseEvent event) {
 		this.receivedEvents++;
+		if (!event.hasOnlyFields()) {
+			cancelAndReport(() -> this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "stream contains a line that belongs to no event"));
+			return true;
+		}
 		if (isSuccessor()) {
 			this.dispatcher.outcomes().onSuccessorEvent(this);
 		}
