--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -67,7 +67,7 @@
 	 * @param connectTimeoutMillis connect timeout in milliseconds
 	 */
 	public void start(String address, ClientRequest request, byte[] body, long connectTimeoutMillis) {
-		this.connectTimer = this.connector.schedule(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
+		this.connectTimer = this.connector.scheduleTimeout(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
 				connectTimeoutMillis);
 		this.connector.connect(address, this.headLimit,
 				callback((connected) -> sendRequest(connected, request, body), this::closeLateConnection));
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
@@ -56,6 +56,10 @@
 		return this.ioThread.executeAfter(task, delayMillis, TimeUnit.MILLISECONDS);
 	}
 
+	XnioIoThread.Key scheduleTimeout(Runnable task, long delayMillis) {
+		return TimeoutTimer.start(this.ioThread, delayMillis, task);
+	}
+
 	PooledByteBuffer allocateBuffer() {
 		return this.bufferPool.allocate();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IoThreadScheduler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IoThreadScheduler.java
@@ -4,6 +4,8 @@
 
 import org.xnio.XnioIoThread;
 
+import org.skylarkspring.gateway.http.TimeoutTimer;
+
 /**
  * {@link Scheduler} that runs its tasks on an I/O thread.
  */
@@ -33,4 +35,9 @@
 		return key::remove;
 	}
 
+	@Override
+	public Timer scheduleTimeout(long millis, Runnable task) {
+		return TimeoutTimer.start(this.ioThread, millis, task)::remove;
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -189,7 +189,7 @@
 		double usualMillis = request.route.semantics().isStreaming() ? Double.MAX_VALUE
 				: this.responseTimes.usualMillis(request.service.name());
 		attempt.responseTimer = this.context.scheduler
-			.schedule(AttemptTimeouts.responseTimeoutMillis(request.route.targetLatencyMillis(), usualMillis,
+			.scheduleTimeout(AttemptTimeouts.responseTimeoutMillis(request.route.targetLatencyMillis(), usualMillis,
 					attempt.dispatchHead.remainingMillis()), () -> onResponseTimeout(attempt));
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/Scheduler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/Scheduler.java
@@ -25,6 +25,15 @@
 	 */
 	Timer schedule(long millis, Runnable task);
 
+	/**
+	 * Schedules a task that gives up waiting for bytes of another process. If this thread
+	 * was held up, what has arrived meanwhile is read before the task runs.
+	 * @param millis timeout in milliseconds
+	 * @param task the task to run
+	 * @return a timer that can cancel the task
+	 */
+	Timer scheduleTimeout(long millis, Runnable task);
+
 	/**
 	 * A scheduled task that can be cancelled.
 	 */
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/VirtualTimeScheduler.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/VirtualTimeScheduler.java
@@ -37,6 +37,11 @@
 		return () -> this.tasks.remove(added);
 	}
 
+	@Override
+	public Timer scheduleTimeout(long millis, Runnable task) {
+		return schedule(millis, task);
+	}
+
 	/**
 	 * Advances the time and runs the tasks that become due.
 	 * @param millis time to advance, in milliseconds
