Try a server once more that did not accept the connection in time

A request to which nothing was sent was refused with 503 if the server that it could not reach in time was the only one of its service: only retryable requests may go to a server twice. Nothing was sent, so one more connection may be tried there when no other server is eligible (the server is ejected by then and thus ranked last). A refused connection is not repeated, as nobody listens.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -46,6 +46,9 @@
 
 	final Set<String> triedServers = new HashSet<>();
 
+	/** Ids of the servers to which a connection was not established in time. */
+	private final Set<String> unreachedServers = new HashSet<>();
+
 	CallerResponseWriter responseWriter;
 
 	CallerDisconnectDetector disconnectDetector;
@@ -108,6 +111,17 @@
 				this.route.maximumAttempts(), this.sendCount);
 	}
 
+	/**
+	 * Allows a server to which no connection was established in time, so that it received
+	 * nothing, to be tried once more.
+	 * @param serverId id of the server
+	 */
+	void allowSecondConnection(String serverId) {
+		if (this.unreachedServers.add(serverId)) {
+			this.triedServers.remove(serverId);
+		}
+	}
+
 	long promptTokens() {
 		return this.head.generationSize().map(GenerationSize::promptTokens).orElse(0);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -161,6 +161,7 @@
 		if (notSent && reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON)) {
 			this.reachability.recordConnectTimeout(attempt.server.registration.dataCentre(),
 					this.context.scheduler.nowMillis());
+			request.allowSecondConnection(attempt.server.registration.id());
 		}
 		if (successor) {
 			this.migrator.onSuccessorFailed(attempt);
