Prefer a tried server to an ejected one for a retry

A retryable request whose only sound server missed its response timeout once, because its machine stood still, was moved to a server that had failed just before and got 502. It now goes to the sound server again; an ejected server is used only if all others are ejected, too.

The new test failed before with 502: the lookup was cancelled on the sound server, which had delayed one response, and sent to the one that breaks off its responses.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.model.GenerationResumePoint;
@@ -122,19 +121,18 @@
 	/**
 	 * Selects a server for a request without a running attempt and sends the request to
 	 * it. Only a retryable request is sent to a server that was tried before, and only if
-	 * no other one is eligible. Ends the request if its prompt is quarantined or there is
-	 * no eligible server.
+	 * no other one is eligible that has not failed recently. Ends the request if its
+	 * prompt is quarantined or there is no eligible server.
 	 * @param request the request
 	 */
 	void dispatch(ActiveRequest request) {
 		if (this.promptQuarantine.endIfQuarantined(request)) {
 			return;
 		}
-		Optional<ServerEntry> server = this.serverSelector.selectServer(request.service, request.reservedTokens,
-				request.triedServers);
-		if (server.isEmpty() && request.route.semantics().isRetryable()) {
-			server = this.serverSelector.selectServer(request.service, request.reservedTokens, Set.of());
-		}
+		Optional<ServerEntry> server = request.route.semantics().isRetryable()
+				? this.serverSelector.selectServerForRetry(request.service, request.reservedTokens,
+						request.triedServers)
+				: this.serverSelector.selectServer(request.service, request.reservedTokens, request.triedServers);
 		if (server.isEmpty()) {
 			endWithoutServer(request);
 			return;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -83,6 +83,23 @@
 		return ranked.stream().filter((entry) -> tryAcquirePermits(service, entry, now)).findFirst();
 	}
 
+	/**
+	 * Selects a server for a request that may run more than once, in the same way. A
+	 * server that was tried before is preferred only to one that is ejected.
+	 * @param service service of the request
+	 * @param tokens amount of KV cache memory that the request needs, in tokens
+	 * @param tried ids of the servers already tried
+	 * @return the server, empty if none can accept the request now
+	 */
+	Optional<ServerEntry> selectServerForRetry(ServiceSpec service, long tokens, Set<String> tried) {
+		long now = this.context.scheduler.nowMillis();
+		Comparator<ServerEntry> ejectedLast = Comparator.comparing((entry) -> entry.isEjected(now));
+		return rankServers(service, tokens, (entry) -> true).stream()
+			.sorted(ejectedLast.thenComparing((entry) -> tried.contains(entry.registration.id())))
+			.filter((entry) -> tryAcquirePermits(service, entry, now))
+			.findFirst();
+	}
+
 	/**
 	 * Returns the time until a server may accept a request that it does not accept now
 	 * because of its rate limit or because it wants no requests for a while.
