--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -31,7 +31,7 @@
 	 * Number of body bytes read before other connections get their turn, so that a server
 	 * that sends at full speed does not delay them.
 	 */
-	private static final int READ_BATCH_BYTES = 64 * 1024;
+	private static final int READ_BATCH_BYTES = 16 * 1024;
 
 	private final HttpConnector connector;
 
