--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -34,7 +34,7 @@
 	 * Number of body bytes read before other connections get their turn, so that a server
 	 * that sends at full speed does not delay them.
 	 */
-	private static final int READ_BATCH_BYTES = 64 * 1024;
+	private static final int READ_BATCH_BYTES = 16 * 1024;
 
 	private static final Logger STATE_LOGGER = LoggerFactory.getLogger("state");
 
@@ -79,7 +79,7 @@
 	 * @param connectTimeoutMillis connect timeout in milliseconds
 	 */
 	public void start(String address, ClientRequest request, byte[] body, long connectTimeoutMillis) {
-		this.connectTimer = this.connector.schedule(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
+		this.connectTimer = this.connector.scheduleTimeout(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
 				connectTimeoutMillis);
 		try {
 			this.connector.connect(address, this.headLimit,
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
@@ -64,6 +64,10 @@
 		this.ioThread.execute(task);
 	}
 
+	XnioIoThread.Key scheduleTimeout(Runnable task, long delayMillis) {
+		return TimeoutTimer.start(this.ioThread, delayMillis, task);
+	}
+
 	PooledByteBuffer allocateBuffer() {
 		return this.bufferPool.allocate();
 	}
