--- a/gateway/src/test/java/org/skylarkspring/gateway/http/TimeoutTimerTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/http/TimeoutTimerTests.java
@@ -145,7 +145,7 @@
 	private record OutcomeListener(CompletableFuture<String> outcome) implements HttpClientCall.Listener {
 
 		@Override
-		public boolean beforeSend() {
+		public HttpClientCall.SendDecision beforeSend() {
 			return this.outcome.complete("connected");
 		}
 
@@ -154,8 +154,8 @@
 		}
 
 		@Override
-		public boolean onData(ByteBuffer data) {
-			return true;
+		public HttpClientCall.SendDecision onData(ByteBuffer data) {
+			return HttpClientCall.SendDecision.SEND;
 		}
 
 		@Override
