--- a/gateway/src/test/java/org/skylarkspring/gateway/http/TimeoutTimerTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/http/TimeoutTimerTests.java
@@ -146,7 +146,8 @@
 
 		@Override
 		public HttpClientCall.SendDecision beforeSend() {
-			return this.outcome.complete("connected");
+			this.outcome.complete("connected");
+			return HttpClientCall.SendDecision.SEND;
 		}
 
 		@Override
@@ -154,8 +155,8 @@
 		}
 
 		@Override
-		public HttpClientCall.SendDecision onData(ByteBuffer data) {
-			return HttpClientCall.SendDecision.SEND;
+		public boolean onData(ByteBuffer data) {
+			return true;
 		}
 
 		@Override
