Stop runs that were given up while their request goes on elsewhere

The first server was left to notice its closed connection. A repeated order names a request only, so that it must not reach a server that continues the generation again (A to B to A): it ends then.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -126,6 +126,11 @@
 		return this.head.generationSize().map(GenerationSize::promptTokens).orElse(0);
 	}
 
+	boolean usesServer(ServerEntry server) {
+		return (this.attempt != null && this.attempt.server == server)
+				|| (this.successor != null && this.successor.server == server);
+	}
+
 	boolean isAuthenticated() {
 		return this.workspace.isPresent();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -163,6 +163,7 @@
 			request.allowSecondConnection(attempt.server.registration.id());
 		}
 		if (successor && this.migrator.selectTargetAfterFailure(attempt)) {
+			this.migrator.stopAbandoned(attempt);
 			return;
 		}
 		if (this.migrator.takeOverFailedSource(attempt)) {
@@ -178,6 +179,7 @@
 		}
 		else {
 			retryOrEnd(request, reason, () -> notSent || this.retryBudgets.tryAcquireRetry(request.service.name()));
+			this.migrator.stopAbandoned(attempt);
 		}
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -229,7 +229,7 @@
 		}
 		migration.stage = GenerationMigration.Stage.STOPPING;
 		this.stopper.stopAfterFailure(successor.activeRequest.id(), migration.source.server, successor.server,
-				(outcome) -> askAfterStop(successor, migration, outcome));
+				() -> false, (outcome) -> askAfterStop(successor, migration, outcome));
 		return false;
 	}
 
@@ -246,7 +246,8 @@
 		GenerationMigration migration = request.migration;
 		this.activeRequests.cancelAttempt(request.attempt);
 		promoteSuccessor(successor, migration);
-		this.stopper.stopAfterClose(request.id(), migration.source.server, successor.server,
+		ServerEntry source = migration.source.server;
+		this.stopper.stopAfterClose(request.id(), source, successor.server, () -> request.usesServer(source),
 				(outcome) -> onSourceStopped(request, migration, outcome));
 	}
 
@@ -317,6 +318,21 @@
 		this.context.metrics.recordDecision("generation carried over");
 	}
 
+	/**
+	 * Stops a generation that a server may still run although its attempt was given up
+	 * while the request goes on elsewhere.
+	 * @param abandoned the attempt on that server
+	 */
+	void stopAbandoned(ServerAttempt abandoned) {
+		ActiveRequest request = abandoned.activeRequest;
+		if (!abandoned.sent || request.finished || request.attempt == null || !isMigratable(request)) {
+			return;
+		}
+		this.stopper.stopAfterFailure(request.id(), abandoned.server, request.attempt.server,
+				() -> request.usesServer(abandoned.server),
+				(outcome) -> handleOf(outcome).ifPresent((handle) -> releaseCopy(abandoned.server, handle)));
+	}
+
 	/**
 	 * Handles the failure or refusal of the server that was to continue a generation.
 	 * @param successor the failed attempt on that server
@@ -368,7 +384,8 @@
 		ServerAttempt successor = request.successor;
 		if (migration.stage == GenerationMigration.Stage.ASKED) {
 			promoteSuccessor(successor, migration);
-			this.stopper.stopAfterFailure(request.id(), migration.source.server, successor.server,
+			ServerEntry source = migration.source.server;
+			this.stopper.stopAfterFailure(request.id(), source, successor.server, () -> request.usesServer(source),
 					(outcome) -> onSourceStopped(request, migration, outcome));
 		}
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.http.DeliveryStatus;
@@ -89,10 +90,14 @@
 	 * @param requestId id of the request
 	 * @param source server that runs the generation
 	 * @param next server that continues it
-	 * @param onStopped receives the outcome, exactly once
+	 * @param resumedOnSource whether the source continues the generation again, which
+	 * then must not be stopped
+	 * @param onStopped receives the outcome, once unless the source continues the
+	 * generation again
 	 */
-	void stopAfterClose(String requestId, ServerEntry source, ServerEntry next, Consumer<Outcome> onStopped) {
-		Order order = new Order(requestId, source, next, onStopped);
+	void stopAfterClose(String requestId, ServerEntry source, ServerEntry next, BooleanSupplier resumedOnSource,
+			Consumer<Outcome> onStopped) {
+		Order order = new Order(requestId, source, next, resumedOnSource, onStopped);
 		this.scheduler.schedule(NOTICE_DELAY_MILLIS, order::send);
 	}
 
@@ -101,10 +106,14 @@
 	 * @param requestId id of the request
 	 * @param source server that ran the generation
 	 * @param next server that is to continue it
-	 * @param onStopped receives the outcome, exactly once
+	 * @param resumedOnSource whether the source continues the generation again, which
+	 * then must not be stopped
+	 * @param onStopped receives the outcome, once unless the source continues the
+	 * generation again
 	 */
-	void stopAfterFailure(String requestId, ServerEntry source, ServerEntry next, Consumer<Outcome> onStopped) {
-		new Order(requestId, source, next, onStopped).send();
+	void stopAfterFailure(String requestId, ServerEntry source, ServerEntry next, BooleanSupplier resumedOnSource,
+			Consumer<Outcome> onStopped) {
+		new Order(requestId, source, next, resumedOnSource, onStopped).send();
 	}
 
 	/**
@@ -198,6 +207,8 @@
 
 		private final ServerEntry next;
 
+		private final BooleanSupplier resumedOnSource;
+
 		private final Consumer<Outcome> onStopped;
 
 		private final long startedMillis = GenerationStopper.this.scheduler.nowMillis();
@@ -210,14 +221,19 @@
 
 		private boolean concluded;
 
-		private Order(String requestId, ServerEntry source, ServerEntry next, Consumer<Outcome> onStopped) {
+		private Order(String requestId, ServerEntry source, ServerEntry next, BooleanSupplier resumedOnSource,
+				Consumer<Outcome> onStopped) {
 			this.requestId = requestId;
 			this.source = source;
 			this.next = next;
+			this.resumedOnSource = resumedOnSource;
 			this.onStopped = onStopped;
 		}
 
 		private void send() {
+			if (this.resumedOnSource.getAsBoolean()) {
+				return;
+			}
 			this.sends++;
 			Caller caller = (elapsedMillis() < ORDER_DELAY_MILLIS) ? GenerationStopper.this.query
 					: GenerationStopper.this.stopOrder;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -239,6 +239,7 @@
 					"no complete response within " + (this.context.scheduler.nowMillis() - attempt.startedMillis)
 							+ " ms");
 			dispatch(request);
+			this.migrator.stopAbandoned(attempt);
 		}
 	}
 
