Check more before a generation counts as stopped

Only refused connections, no other failed ones, tell that a server has ended. - A server counts as one that does not stop only after two orders without effect, so that a held-up gateway ends no stream. - The handle of a refused final copy names no copy at the target and is not used. - A server that has not confirmed yet is no target or backup of the same generation, and an order waits while its server continues the generation again. - A request that is sent to a new server ends its migration: a response timeout left the successor in place, and two attempts could feed one response. - If neither server may go on, both are ordered to stop. - A first event with a gap does not replace a sound source.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 
@@ -30,6 +31,9 @@
 	/** Failure reason: the connection was not established within the connect timeout. */
 	public static final String CONNECT_TIMEOUT_REASON = "connection not established within the connect timeout";
 
+	/** Failure reason: no process accepts connections at the address. */
+	public static final String CONNECTION_REFUSED_REASON = "connection refused";
+
 	/**
 	 * Number of body bytes read before other connections get their turn, so that a server
 	 * that sends at full speed does not delay them.
@@ -275,6 +279,9 @@
 		if (this.headLimit.isExceeded()) {
 			return this.headLimit.reason();
 		}
+		if (failure instanceof ConnectException) {
+			return CONNECTION_REFUSED_REASON;
+		}
 		return (failure.getMessage() != null) ? failure.getMessage() : failure.getClass().getSimpleName();
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -46,6 +46,11 @@
 
 	final Set<String> triedServers = new HashSet<>();
 
+	/**
+	 * Ids of the servers that have not confirmed yet that they stopped the generation.
+	 */
+	final Set<String> stoppingServers = new HashSet<>();
+
 	/** Ids of the servers to which a connection was not established in time. */
 	private final Set<String> unreachedServers = new HashSet<>();
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -1,8 +1,10 @@
 package org.skylarkspring.gateway.internal;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.http.HttpTextRequest;
@@ -131,6 +133,7 @@
 	private Optional<ServerEntry> tryUseBackup(ServerAttempt attempt) {
 		return Optional.ofNullable(attempt.backup)
 			.filter((backup) -> attempt.relayedEvents > 0)
+			.filter((backup) -> !attempt.activeRequest.stoppingServers.contains(backup.registration.id()))
 			.filter((backup) -> this.serverSelector.tryUseSelected(attempt.activeRequest.service, backup));
 	}
 
@@ -150,7 +153,7 @@
 			return;
 		}
 		Optional<ServerEntry> target = this.serverSelector.selectMigrationTarget(request.service,
-				request.reservedTokens, migration.source.server, migration.rejectedTargetIds);
+				request.reservedTokens, migration.source.server, excludedTargetIds(request, migration));
 		if (target.isEmpty()) {
 			// Capacity may become available while the source still runs, also on
 			// servers that rejected the copy before.
@@ -163,6 +166,13 @@
 		copyTo(request, migration, target.get());
 	}
 
+	// A server that may still run the generation must not be asked to continue it.
+	private static Set<String> excludedTargetIds(ActiveRequest request, GenerationMigration migration) {
+		Set<String> excluded = new HashSet<>(migration.rejectedTargetIds);
+		excluded.addAll(request.stoppingServers);
+		return excluded;
+	}
+
 	private void copyTo(ActiveRequest request, GenerationMigration migration, ServerEntry target) {
 		migration.reserveTokens(target, request.reservedTokens);
 		migration.stage = GenerationMigration.Stage.COPYING;
@@ -228,8 +238,11 @@
 			return true;
 		}
 		migration.stage = GenerationMigration.Stage.STOPPING;
-		this.stopper.stopAfterFailure(successor.activeRequest.id(), migration.source.server, successor.server,
-				() -> false, (outcome) -> askAfterStop(successor, migration, outcome));
+		ServerEntry source = migration.source.server;
+		successor.activeRequest.stoppingServers.add(source.registration.id());
+		this.stopper.stopAfterFailure(successor.activeRequest.id(), source, successor.server,
+				() -> successor.activeRequest.usesServer(source),
+				(outcome) -> askAfterStop(successor, migration, outcome));
 		return false;
 	}
 
@@ -247,6 +260,7 @@
 		this.activeRequests.cancelAttempt(request.attempt);
 		promoteSuccessor(successor, migration);
 		ServerEntry source = migration.source.server;
+		request.stoppingServers.add(source.registration.id());
 		this.stopper.stopAfterClose(request.id(), source, successor.server, () -> request.usesServer(source),
 				(outcome) -> onSourceStopped(request, migration, outcome));
 	}
@@ -267,8 +281,9 @@
 		long overlapMillis = this.context.scheduler.nowMillis() - migration.askedMillis;
 		this.context.metrics.recordGenerationOverlap(outcome.name(), overlapMillis);
 		handleOf(outcome).ifPresent((handle) -> releaseCopy(migration.source.server, handle));
+		recordStop(request, migration.source.server, outcome);
 		if (outcome instanceof GenerationStopper.Outcome.StillRunning) {
-			endWithoutOwner(request);
+			endWithoutOwner(request, migration);
 		}
 	}
 
@@ -280,8 +295,9 @@
 			releaseUnusedCopy(migration);
 			return;
 		}
+		recordStop(request, migration.source.server, outcome);
 		if (outcome instanceof GenerationStopper.Outcome.StillRunning) {
-			endWithoutOwner(request);
+			endWithoutOwner(request, migration);
 			return;
 		}
 		handleOf(outcome).ifPresent((handle) -> migration.resumePoint = new GenerationResumePoint(
@@ -299,12 +315,21 @@
 		return (outcome instanceof GenerationStopper.Outcome.Stopped stopped) ? stopped.handle() : Optional.empty();
 	}
 
+	private static void recordStop(ActiveRequest request, ServerEntry source, GenerationStopper.Outcome outcome) {
+		if (outcome instanceof GenerationStopper.Outcome.Stopped) {
+			request.stoppingServers.remove(source.registration.id());
+		}
+	}
+
 	// Only one of two servers may run a generation.
-	private void endWithoutOwner(ActiveRequest request) {
-		if (!request.finished) {
-			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
-					"server does not stop the generation");
+	private void endWithoutOwner(ActiveRequest request, GenerationMigration migration) {
+		if (request.finished) {
+			return;
 		}
+		this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
+				"server does not stop the generation");
+		this.stopper.stopAfterClose(request.id(), migration.target, migration.source.server, () -> false,
+				(outcome) -> handleOf(outcome).ifPresent((handle) -> releaseCopy(migration.target, handle)));
 	}
 
 	private void logResumption(ActiveRequest request, GenerationMigration migration) {
@@ -318,6 +343,17 @@
 		this.context.metrics.recordDecision("generation carried over");
 	}
 
+	/**
+	 * Ends the migration of a request that is sent to a new server instead.
+	 * @param request the request
+	 */
+	void abortMigration(ActiveRequest request) {
+		this.activeRequests.cancelAttempt(request.successor);
+		if (request.migration != null) {
+			request.migration.abort();
+		}
+	}
+
 	/**
 	 * Stops a generation that a server may still run although its attempt was given up
 	 * while the request goes on elsewhere.
@@ -328,9 +364,12 @@
 		if (!abandoned.sent || request.finished || request.attempt == null || !isMigratable(request)) {
 			return;
 		}
+		request.stoppingServers.add(abandoned.server.registration.id());
 		this.stopper.stopAfterFailure(request.id(), abandoned.server, request.attempt.server,
-				() -> request.usesServer(abandoned.server),
-				(outcome) -> handleOf(outcome).ifPresent((handle) -> releaseCopy(abandoned.server, handle)));
+				() -> request.usesServer(abandoned.server), (outcome) -> {
+					recordStop(request, abandoned.server, outcome);
+					handleOf(outcome).ifPresent((handle) -> releaseCopy(abandoned.server, handle));
+				});
 	}
 
 	/**
@@ -385,6 +424,7 @@
 		if (migration.stage == GenerationMigration.Stage.ASKED) {
 			promoteSuccessor(successor, migration);
 			ServerEntry source = migration.source.server;
+			request.stoppingServers.add(source.registration.id());
 			this.stopper.stopAfterFailure(request.id(), source, successor.server, () -> request.usesServer(source),
 					(outcome) -> onSourceStopped(request, migration, outcome));
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
@@ -27,6 +27,9 @@
 
 	private static final long REPEAT_DELAY_MILLIS = 10;
 
+	/** Delay of further calls when nothing waits for the server any more. */
+	private static final long LATE_REPEAT_DELAY_MILLIS = 200;
+
 	/** Time that a server gets to notice a closed connection before it is asked. */
 	private static final long NOTICE_DELAY_MILLIS = 20;
 
@@ -46,9 +49,14 @@
 	 * Time after which a server that is reached but does not stop is given up, so that
 	 * the next one can be cancelled instead.
 	 */
-	private static final long MAXIMUM_STOP_MILLIS = 300;
+	private static final long MAXIMUM_STOP_MILLIS = 280;
+
+	/**
+	 * Number of orders that a server has to leave without effect before it is given up.
+	 */
+	private static final int MINIMUM_ORDERS = 2;
 
-	/** Time after which the order to an unreachable server is not repeated any more. */
+	/** Time after which calls to a server are not repeated any more. */
 	private static final long MAXIMUM_REPEAT_MILLIS = 5_000;
 
 	/** A server that refuses that many connections in succession has ended. */
@@ -217,6 +225,11 @@
 
 		private int sends;
 
+		private int orders;
+
+		/** Whether the server has said once that it does not run the generation. */
+		private boolean confirmed;
+
 		private int refusedConnections;
 
 		private boolean concluded;
@@ -232,12 +245,17 @@
 
 		private void send() {
 			if (this.resumedOnSource.getAsBoolean()) {
+				repeat("resumed on the source");
 				return;
 			}
 			this.sends++;
-			Caller caller = (elapsedMillis() < ORDER_DELAY_MILLIS) ? GenerationStopper.this.query
-					: GenerationStopper.this.stopOrder;
-			caller.send(this.requestId, this.source, this.next, this::onResult);
+			if (elapsedMillis() < ORDER_DELAY_MILLIS) {
+				GenerationStopper.this.query.send(this.requestId, this.source, this.next, this::onResult);
+			}
+			else {
+				this.orders++;
+				GenerationStopper.this.stopOrder.send(this.requestId, this.source, this.next, this::onResult);
+			}
 		}
 
 		private void onResult(HttpTextResult response, StopResult result) {
@@ -246,35 +264,63 @@
 				this.lastReachedMillis = GenerationStopper.this.scheduler.nowMillis();
 			}
 			if (result instanceof StopResult.Stopped stopped) {
-				confirm(stopped.handle(), stopped.handle().isPresent() ? "stopped by the order" : "had ended");
+				onConfirmed(stopped.handle());
 			}
 			else if (this.refusedConnections >= REFUSED_CONNECTIONS_OF_ENDED_SERVER) {
-				confirm(Optional.empty(), "server has ended");
+				onRefused();
 			}
 			else {
+				concludeIfHopeless(String.valueOf(result));
 				repeat(String.valueOf(result));
 			}
 		}
 
-		private void repeat(String reason) {
+		// Connections to a server that lives may be refused for a moment.
+		private void onRefused() {
+			boolean checked = this.concluded;
+			conclude(new Outcome.Stopped(Optional.empty()), "server has ended");
+			if (!checked) {
+				repeat("connection refused");
+			}
+		}
+
+		// A server may not know a generation that waits or was preempted, so that the
+		// first
+		// answer that it does not run it is checked once more.
+		private void onConfirmed(Optional<String> handle) {
+			if (this.concluded) {
+				handle.ifPresent((unused) -> GenerationStopper.this.copyReleaser.accept(this.source, unused));
+			}
+			conclude(new Outcome.Stopped(handle), handle.isPresent() ? "stopped by the order" : "had ended");
+			if (handle.isEmpty() && !this.confirmed) {
+				this.confirmed = true;
+				repeat("confirmed once");
+			}
+			else if (handle.isPresent() && this.confirmed) {
+				logOutcome("generation stopped late", "still ran after the server had not known it");
+			}
+		}
+
+		private void concludeIfHopeless(String reason) {
+			if (this.resumedOnSource.getAsBoolean()) {
+				return;
+			}
 			long unreachedMillis = GenerationStopper.this.scheduler.nowMillis() - this.lastReachedMillis;
 			if (unreachedMillis >= UNREACHABLE_AFTER_MILLIS) {
 				conclude(new Outcome.Unreachable(), reason);
 			}
-			else if (elapsedMillis() >= MAXIMUM_STOP_MILLIS) {
+			else if (elapsedMillis() >= MAXIMUM_STOP_MILLIS && this.orders >= MINIMUM_ORDERS) {
 				conclude(new Outcome.StillRunning(), reason);
 			}
-			if (elapsedMillis() < MAXIMUM_REPEAT_MILLIS) {
-				GenerationStopper.this.scheduler.schedule(REPEAT_DELAY_MILLIS, this::send);
-			}
 		}
 
-		private void confirm(Optional<String> handle, String reason) {
-			if (this.concluded) {
-				logOutcome("generation stopped late", reason);
-				handle.ifPresent((unused) -> GenerationStopper.this.copyReleaser.accept(this.source, unused));
+		private void repeat(String reason) {
+			if (elapsedMillis() >= MAXIMUM_REPEAT_MILLIS) {
+				logOutcome("generation not confirmed as stopped", reason);
+				return;
 			}
-			conclude(new Outcome.Stopped(handle), reason);
+			GenerationStopper.this.scheduler.schedule(this.concluded ? LATE_REPEAT_DELAY_MILLIS : REPEAT_DELAY_MILLIS,
+					this::send);
 		}
 
 		private void conclude(Outcome outcome, String reason) {
@@ -284,7 +330,7 @@
 			this.concluded = true;
 			boolean routine = outcome instanceof Outcome.Stopped stopped && stopped.handle().isEmpty();
 			if (!routine) {
-				logOutcome("generation had to be stopped", outcome + ": " + reason);
+				logOutcome("generation had to be stopped", outcome.name() + ": " + reason);
 			}
 			this.onStopped.accept(outcome);
 		}
@@ -309,8 +355,8 @@
 		}
 
 		private static boolean isConnectionRefused(HttpTextResult response) {
-			return response instanceof HttpTextResult.Failed failed && failed.outcome() == DeliveryStatus.NOT_SENT
-					&& !failed.reason().equals(HttpClientCall.CONNECT_TIMEOUT_REASON);
+			return response instanceof HttpTextResult.Failed failed
+					&& failed.reason().equals(HttpClientCall.CONNECTION_REFUSED_REASON);
 		}
 
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -127,6 +127,7 @@
 	 * @param request the request
 	 */
 	void dispatch(ActiveRequest request) {
+		this.migrator.abortMigration(request);
 		if (this.promptQuarantine.endIfQuarantined(request)) {
 			return;
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -288,15 +288,15 @@
 				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "stream contains a line that belongs to no event"));
 			return true;
 		}
-		if (isSuccessor()) {
-			this.dispatcher.outcomes().onSuccessorEvent(this);
-		}
 		EventSequenceTracker.Disposition disposition = this.activeRequest.eventOrder.classify(event);
 		if (disposition == EventSequenceTracker.Disposition.GAP) {
 			cancelAndReport(() -> this.dispatcher.outcomes()
 				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "missing event before event " + event.id().orElse("")));
 			return true;
 		}
+		if (isSuccessor()) {
+			this.dispatcher.outcomes().onSuccessorEvent(this);
+		}
 		if (disposition == EventSequenceTracker.Disposition.DUPLICATE) {
 			return true;
 		}
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/GenerationStopperTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/GenerationStopperTests.java
@@ -95,11 +95,24 @@
 	class ReachedServers {
 
 		@Test
-		void serverThatNoticesItsClosedConnectionIsAskedOnce() {
+		void serverThatNoticesItsClosedConnectionIsCheckedOnceMore() {
 			GenerationStopperTests.this.queryAnswer = () -> answered(ENDED);
+			GenerationStopperTests.this.orderAnswer = () -> answered(ENDED);
 			stopAfterClose();
-			GenerationStopperTests.this.scheduler.advance(5_000);
-			assertThat(GenerationStopperTests.this.calls, contains("query"));
+			GenerationStopperTests.this.scheduler.advance(60_000);
+			assertThat(GenerationStopperTests.this.calls, contains("query", "order"));
+			assertThat(GenerationStopperTests.this.outcomes,
+					contains(new GenerationStopper.Outcome.Stopped(Optional.empty())));
+		}
+
+		@Test
+		void preemptedGenerationThatItsServerDidNotKnowIsStoppedLater() {
+			GenerationStopperTests.this.queryAnswer = () -> answered(ENDED);
+			GenerationStopperTests.this.orderAnswer = () -> answered(new StopResult.Stopped(Optional.of("h3")));
+			stopAfterClose();
+			GenerationStopperTests.this.scheduler.advance(MAXIMUM_OVERLAP_MILLIS);
+			assertThat(GenerationStopperTests.this.calls, contains("query", "order"));
+			assertThat(GenerationStopperTests.this.releasedCopies, contains("h3"));
 			assertThat(GenerationStopperTests.this.outcomes,
 					contains(new GenerationStopper.Outcome.Stopped(Optional.empty())));
 		}
@@ -118,7 +131,7 @@
 		void lostOrderIsRepeated() {
 			List<Answer> answers = new ArrayList<>(List.of(failed(DeliveryStatus.UNKNOWN, "no complete response", 60),
 					failed(DeliveryStatus.UNKNOWN, "connection reset", 5), answered(ENDED)));
-			GenerationStopperTests.this.orderAnswer = () -> answers.remove(0);
+			GenerationStopperTests.this.orderAnswer = () -> answers.isEmpty() ? answered(ENDED) : answers.remove(0);
 			stopAfterClose();
 			GenerationStopperTests.this.scheduler.advance(MAXIMUM_OVERLAP_MILLIS);
 			assertThat(GenerationStopperTests.this.outcomes,
@@ -153,9 +166,20 @@
 	@Nested
 	class UnreachedServers {
 
+		@Test
+		void connectionsThatFailForAnotherReasonDoNotProveThatTheServerHasEnded() {
+			GenerationStopperTests.this.queryAnswer = () -> failed(DeliveryStatus.NOT_SENT, "no route to host", 1);
+			GenerationStopperTests.this.orderAnswer = () -> answered(new StopResult.Stopped(Optional.of("h4")));
+			stopAfterFailure();
+			GenerationStopperTests.this.scheduler.advance(MAXIMUM_OVERLAP_MILLIS);
+			assertThat(GenerationStopperTests.this.outcomes,
+					contains(new GenerationStopper.Outcome.Stopped(Optional.of("h4"))));
+		}
+
 		@Test
 		void serverThatRefusesConnectionsHasEnded() {
-			GenerationStopperTests.this.queryAnswer = () -> failed(DeliveryStatus.NOT_SENT, "Connection refused", 1);
+			GenerationStopperTests.this.queryAnswer = () -> failed(DeliveryStatus.NOT_SENT,
+					HttpClientCall.CONNECTION_REFUSED_REASON, 1);
 			stopAfterFailure();
 			GenerationStopperTests.this.scheduler.advance(50);
 			assertThat(GenerationStopperTests.this.outcomes,
@@ -180,7 +204,7 @@
 			GenerationStopperTests.this.scheduler.advance(1_000);
 			GenerationStopperTests.this.orderAnswer = () -> answered(new StopResult.Stopped(Optional.of("h2")));
 			GenerationStopperTests.this.calls.clear();
-			GenerationStopperTests.this.scheduler.advance(100);
+			GenerationStopperTests.this.scheduler.advance(MAXIMUM_OVERLAP_MILLIS);
 			assertThat(GenerationStopperTests.this.calls, hasItem("order"));
 			assertThat(GenerationStopperTests.this.outcomes, contains(new GenerationStopper.Outcome.Unreachable()));
 			assertThat(GenerationStopperTests.this.releasedCopies, contains("h2"));
