--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
@@ -100,8 +100,8 @@
 	 * @param next server that continues it
 	 * @param resumedOnSource whether the source continues the generation again, which
 	 * then must not be stopped
-	 * @param onStopped receives the outcome, once unless the source continues the
-	 * generation again
+	 * @param onStopped receives the outcome, at most once; not if the source continues
+	 * the generation again
 	 */
 	void stopAfterClose(String requestId, ServerEntry source, ServerEntry next, BooleanSupplier resumedOnSource,
 			Consumer<Outcome> onStopped) {
@@ -116,8 +116,8 @@
 	 * @param next server that is to continue it
 	 * @param resumedOnSource whether the source continues the generation again, which
 	 * then must not be stopped
-	 * @param onStopped receives the outcome, once unless the source continues the
-	 * generation again
+	 * @param onStopped receives the outcome, at most once; not if the source continues
+	 * the generation again
 	 */
 	void stopAfterFailure(String requestId, ServerEntry source, ServerEntry next, BooleanSupplier resumedOnSource,
 			Consumer<Outcome> onStopped) {
@@ -284,9 +284,9 @@
 			}
 		}
 
-		// A server may not know a generation that waits or was preempted, so that the
-		// first
-		// answer that it does not run it is checked once more.
+		// A server may not know a generation that waits or was preempted. Its first
+		// answer
+		// is therefore checked once more.
 		private void onConfirmed(Optional<String> handle) {
 			if (this.concluded) {
 				handle.ifPresent((unused) -> GenerationStopper.this.copyReleaser.accept(this.source, unused));
