--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
@@ -284,9 +284,8 @@
 			}
 		}
 
-		// A server may not know a generation that waits or was preempted. Its first
-		// answer
-		// is therefore checked once more.
+		// A first answer is checked once more: a server may not know a generation
+		// that waits or was preempted.
 		private void onConfirmed(Optional<String> handle) {
 			if (this.concluded) {
 				handle.ifPresent((unused) -> GenerationStopper.this.copyReleaser.accept(this.source, unused));
