--- a/gateway/src/main/java/org/skylarkspring/gateway/model/StopResult.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/StopResult.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 /**
- * Result of ordering a server to stop a generation.
+ * Result of asking a server whether it runs a generation, or of ordering it to stop one.
  */
 public sealed interface StopResult {
 
