Handle other connections between the requests of a burst

What callers saw: while 100 callers called at once, the stream of another one paused for 0.3 to 0.9 s, and some of the 100 were refused (503) although the server was up. EndlessBytesTests, pattern EVENT on a new process, failed on the pause.

Cause, sampled on the I/O thread every 2 ms during the longest pause (330 and 563 ms): it did not poll its sockets once. It runs all tasks and all due timers before it polls, and each accepted connection is a task that parses the request, selects a server and opens a connection to it: about 2 ms of processor time each in cold code, 3 to 5 ms elapsed beside other load. The bytes without end were hardly part of it. Ruled out: garbage collections and safepoints other than those of the sampling (none in either pause; the sampling itself took 59 and 110 ms), class loading (36 and 56 classes), allocation (2 to 3 MB).

Now requests are started for 5 ms, after which the thread polls and handles what has arrived; the others wait in their order. A pipe that is always readable tells that a poll has taken place, as tasks and timers can not. A waiting request counts as one being served when the process stops. A body that arrives after its head is not limited in this way.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
@@ -1,5 +1,7 @@
 package org.skylarkspring.gateway.internal;
 
+import java.io.IOException;
+
 import io.undertow.connector.ByteBufferPool;
 import org.xnio.XnioIoThread;
 
@@ -30,12 +32,15 @@
 
 	final Scheduler scheduler;
 
+	/** Starts requests, so that a burst of them does not delay those being served. */
+	final TurnLimitedExecutor requestStarter;
+
 	final DecisionLog log = new DecisionLog();
 
 	final GatewayMetrics metrics = new GatewayMetrics();
 
 	GatewayContext(GatewaySettings settings, XnioIoThread ioThread, ByteBufferPool buffers,
-			CallerProtocol callerProtocol, ServerProtocol serverProtocol) {
+			CallerProtocol callerProtocol, ServerProtocol serverProtocol) throws IOException {
 		this.settings = settings;
 		this.ioThread = ioThread;
 		this.buffers = buffers;
@@ -44,6 +49,7 @@
 		this.connector = new HttpConnector(ioThread, buffers);
 		this.client = new HttpTextClient(this.connector);
 		this.scheduler = new IoThreadScheduler(ioThread);
+		this.requestStarter = new TurnLimitedExecutor(ioThread);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -192,7 +192,8 @@
 	public void stop(Runnable exit) {
 		this.context.ioThread.execute(() -> {
 			this.instanceRegistry.deregister();
-			this.lifecycle.startShutdown(() -> this.activeRequests.requests().size(), exit);
+			this.lifecycle.startShutdown(
+					() -> this.activeRequests.requests().size() + this.context.requestStarter.waitingTasks(), exit);
 		});
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -77,7 +77,8 @@
 		if (this.lifecycle.isStopping()) {
 			exchange.setPersistent(false);
 		}
-		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> decodeAndRoute(exchange, arrivedMillis));
+		exchange.dispatch(this.context.requestStarter, (HttpHandler) (started) -> started
+			.dispatch(SameThreadExecutor.INSTANCE, () -> decodeAndRoute(started, arrivedMillis)));
 	}
 
 	private void trackConnection(HttpServerExchange exchange) {
