Refuse a request whose handling throws an exception before its first attempt

Callers would have got no answer at all: an exception thrown between the end of the body and the start of the deadline timer was only logged by the I/O thread, and the request kept its place in the registry and the memory of its body. After the timer it was answered 504 at its deadline, and with the body in the first read 500, although it had not run.

Cause: the steps run as tasks and channel listeners of the I/O thread, which swallow exceptions; the registry was told before the timer was set, and nothing ended the request.

Now each of these steps is guarded: before the request is registered it is rejected (503, not run) and the memory of its body is released; afterwards it ends with the verdict of its attempts, which is a refusal before the first one. The deadline timer is the first thing to be set. The exception is logged with the id of the request.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -56,9 +56,12 @@
 
 	CallerResponseWriter responseWriter;
 
+	/** Detector of the caller's disconnect, {@code null} until it is started. */
 	CallerDisconnectDetector disconnectDetector;
 
-	Scheduler.Timer deadlineTimer;
+	/** Timer of the deadline, without effect until it is started. */
+	Scheduler.Timer deadlineTimer = () -> {
+	};
 
 	ServerAttempt attempt;
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -99,6 +100,22 @@
 		}
 	}
 
+	/**
+	 * Ends a request whose dispatch has thrown an exception. It is rejected if it cannot
+	 * have run.
+	 * @param request the request
+	 * @param exception the exception
+	 */
+	void endAfterException(ActiveRequest request, Throwable exception) {
+		this.context.log.logException(request.id(), "exception while dispatching a request", exception);
+		if (!request.finished) {
+			end(request, request.toRetryContext().decideWithoutRetry(), String.valueOf(exception));
+		}
+		else if (!request.isCommitted()) {
+			request.responseWriter.abort();
+		}
+	}
+
 	void onDeadlineExceeded(ActiveRequest request) {
 		if (request.finished) {
 			return;
@@ -163,7 +180,7 @@
 		this.context.metrics.setActiveRequests(this.requests.size());
 		this.context.metrics.recordOutcome(request.route.name(), outcome);
 		request.deadlineTimer.cancel();
-		request.disconnectDetector.stop();
+		Optional.ofNullable(request.disconnectDetector).ifPresent(CallerDisconnectDetector::stop);
 		cancelAttempt(request.successor);
 		cancelAttempt(request.attempt);
 		this.endListener.accept(request);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/DecisionLog.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/DecisionLog.java
@@ -62,6 +62,16 @@
 		event.log(decision);
 	}
 
+	/**
+	 * Logs an exception that ends a request.
+	 * @param requestId id of the request
+	 * @param message what was done when it was thrown
+	 * @param exception the exception
+	 */
+	void logException(String requestId, String message, Throwable exception) {
+		REQUEST_LOGGER.atError().addKeyValue("request", requestId).setCause(exception).log(message);
+	}
+
 	/**
 	 * Logs a change of the instance state.
 	 * @param change name of the change
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -77,7 +77,31 @@
 		if (this.lifecycle.isStopping()) {
 			exchange.setPersistent(false);
 		}
-		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> decodeAndRoute(exchange, arrivedMillis));
+		exchange.dispatch(SameThreadExecutor.INSTANCE,
+				() -> rejectOnException(exchange, "", () -> decodeAndRoute(exchange, arrivedMillis)));
+	}
+
+	// The I/O thread only logs an exception, so that the caller would wait in vain.
+	private void rejectOnException(HttpServerExchange exchange, String requestId, Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.context.log.logException(requestId, "exception while reading a request", ex);
+			rejectAfterException(exchange, requestId, String.valueOf(ex));
+		}
+	}
+
+	private void rejectAfterException(HttpServerExchange exchange, String requestId, String reason) {
+		if (exchange.isResponseStarted()) {
+			IoUtils.safeClose(exchange.getConnection());
+		}
+		else if (exchange.isRequestComplete()) {
+			this.rejector.rejectWithRetryAfter(exchange, requestId, reason);
+		}
+		else {
+			this.rejector.rejectWithRetryAfterAndClose(exchange, requestId, reason);
+		}
 	}
 
 	private void trackConnection(HttpServerExchange exchange) {
@@ -144,7 +168,7 @@
 		Runnable reroute = () -> {
 			if (!rerouted[0]) {
 				rerouted[0] = true;
-				routeRequest(exchange, head, arrivedMillis, false);
+				rejectOnException(exchange, head.requestId(), () -> routeRequest(exchange, head, arrivedMillis, false));
 			}
 		};
 		this.context.scheduler.schedule(CONFIGURATION_CHECK_TIMEOUT_MILLIS, reroute);
@@ -181,23 +205,35 @@
 			return;
 		}
 		int priority = workspace.map(WorkspaceSpec::priority).orElse(OptionalInt.empty()).orElse(route.priority());
-		Consumer<byte[]> onComplete = (bytes) -> startRequest(new ActiveRequest(exchange, head, route, service.get(),
-				workspace.map(WorkspaceSpec::name), priority, bytes, forwardedHeaders(exchange), arrivedMillis));
+		Function<byte[], ActiveRequest> toRequest = (bytes) -> new ActiveRequest(exchange, head, route, service.get(),
+				workspace.map(WorkspaceSpec::name), priority, bytes, forwardedHeaders(exchange), arrivedMillis);
 		RequestBodyReader.read(exchange,
 				new RequestBodyReader.Limits(limits.maximumBodyBytes(), limits.idleTimeoutMillis(),
 						this.activeRequests.bodyMemory()),
-				this.context.scheduler, (body) -> onBodyRead(exchange, head, limits, body, onComplete));
+				this.context.scheduler, (body) -> rejectOnException(exchange, head.requestId(),
+						() -> onBodyRead(exchange, head, limits, body, toRequest)));
 	}
 
-	private void startRequest(ActiveRequest request) {
+	private void startRequest(byte[] body, Function<byte[], ActiveRequest> toRequest) {
+		ActiveRequest request = createRequest(body, toRequest);
 		this.connections.assignRequest(request.exchange.getConnection(), request);
 		this.dispatcher.start(request);
 	}
 
+	private ActiveRequest createRequest(byte[] body, Function<byte[], ActiveRequest> toRequest) {
+		try {
+			return toRequest.apply(body);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.activeRequests.bodyMemory().release(body.length);
+			throw ex;
+		}
+	}
+
 	private void onBodyRead(HttpServerExchange exchange, RequestHead head, CallerLimits limits, RequestBody body,
-			Consumer<byte[]> onComplete) {
+			Function<byte[], ActiveRequest> toRequest) {
 		if (body instanceof RequestBody.Complete complete) {
-			onComplete.accept(complete.bytes());
+			startRequest(complete.bytes(), toRequest);
 		}
 		else if (body instanceof RequestBody.TooLarge) {
 			this.rejector.rejectAndClose(exchange, head.requestId(), CONTENT_TOO_LARGE,
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -93,18 +93,22 @@
 	 * @param request the request
 	 */
 	void start(ActiveRequest request) {
-		this.activeRequests.register(request);
-		this.retryBudgets.recordRequest(request.service.name());
 		request.responseWriter = new CallerResponseWriter(request.exchange, () -> {
 			if (request.attempt != null) {
 				request.attempt.resumeReads();
 			}
 		});
-		request.disconnectDetector = CallerDisconnectDetector.start(request.exchange,
-				() -> this.activeRequests.onCallerDisconnected(request));
+		this.activeRequests.register(request);
+		endOnException(request, () -> startRegistered(request));
+	}
+
+	private void startRegistered(ActiveRequest request) {
 		request.deadlineTimer = this.context.scheduler.schedule(
 				AttemptTimeouts.finalResponseMillis(request.deadlineMillis - this.context.scheduler.nowMillis()),
 				() -> this.activeRequests.onDeadlineExceeded(request));
+		request.disconnectDetector = CallerDisconnectDetector.start(request.exchange,
+				() -> this.activeRequests.onCallerDisconnected(request));
+		this.retryBudgets.recordRequest(request.service.name());
 		if (request.reservedTokens > 0) {
 			this.peerLoadRefresher.accept(() -> dispatchUnlessFinished(request));
 		}
@@ -113,6 +117,16 @@
 		}
 	}
 
+	// The I/O thread only logs an exception, so that the caller would wait in vain.
+	private void endOnException(ActiveRequest request, Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.activeRequests.endAfterException(request, ex);
+		}
+	}
+
 	private void dispatchUnlessFinished(ActiveRequest request) {
 		if (!request.finished) {
 			dispatch(request);
@@ -123,10 +137,14 @@
 	 * Selects a server for a request without a running attempt and sends the request to
 	 * it. Only a retryable request is sent to a server that was tried before, and only if
 	 * no other one is eligible that has not failed recently. Ends the request if its
-	 * prompt is quarantined or there is no eligible server.
+	 * prompt is quarantined, there is no eligible server or an exception is thrown.
 	 * @param request the request
 	 */
 	void dispatch(ActiveRequest request) {
+		endOnException(request, () -> selectServerAndSend(request));
+	}
+
+	private void selectServerAndSend(ActiveRequest request) {
 		this.migrator.abortMigration(request);
 		if (this.promptQuarantine.endIfQuarantined(request)) {
 			return;
