Do not count a withdrawn send as a failure of its server

Callers were sent to other, worse servers: a request that the gateway did not send after all, because its server began to drain, named a Retry-After, was evacuated, or the key lapsed while the connection was established, counted as a failed connection, so that the server was ejected for 0.5 s or more and its failure rate rose.

Cause: the withdrawal is reported as a failure of the call, and onAttemptFailed records each of these. Attempts that are cancelled, also since their caller has left, report nothing; they had no such effect (by reading).

Now an attempt knows that it was withdrawn, and its server's health is left alone. What happens to the request is unchanged.

Evidence: WithdrawnSendTests failed (server ejected), and passes.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -144,7 +144,9 @@
 		ActiveRequest request = attempt.activeRequest;
 		boolean successor = attempt.isSuccessor();
 		this.activeRequests.detachAttempt(attempt);
-		attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
+		if (!attempt.isWithdrawn()) {
+			attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
+		}
 		if (request.finished) {
 			return;
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -94,6 +94,9 @@
 
 	private boolean detached;
 
+	/** Whether this instance decided not to send the request. */
+	private boolean withdrawn;
+
 	ServerAttempt(GatewayContext context, RequestDispatcher dispatcher, ActiveRequest activeRequest, ServerEntry server,
 			DispatchHead dispatchHead, Optional<ServerEntry> backup) {
 		this.context = context;
@@ -165,6 +168,15 @@
 				&& this.dispatchHead.resumePoint().isEmpty() && this.server.acceptsRequests();
 	}
 
+	/**
+	 * Returns whether this instance decided not to send the request to the connected
+	 * server, which is then no failure of the server.
+	 * @return {@code true} if the attempt ended before its request was sent
+	 */
+	boolean isWithdrawn() {
+		return this.withdrawn;
+	}
+
 	boolean isSuccessor() {
 		return this.activeRequest.successor == this;
 	}
@@ -185,6 +197,7 @@
 	public HttpClientCall.SendDecision beforeSend() {
 		HttpClientCall.SendDecision decision = this.dispatcher.decideSend(this);
 		this.sent = decision == HttpClientCall.SendDecision.SEND;
+		this.withdrawn = decision == HttpClientCall.SendDecision.WITHDRAW;
 		return decision;
 	}
 
