Send a request again whose waiting connection was closed before it was written

Callers lost streams that could go on: the connection to the server that is to continue a generation waits while the failed source is stopped. If the server closed it meanwhile, the request counted as one that may have run, and the stream was aborted although the copy was untouched.

Cause: a call counted as sent as soon as it was handed to the HTTP client, which refuses it on a closed connection.

Now a conduit at the socket remembers whether any byte was accepted for writing; a write that fails has accepted none, and the connection is closed before a failure is reported, so that nothing can be written later. Without a byte the call was not sent: the attempt no longer counts as an execution, its server may be tried once more, and the continuation of a generation, which only this server can do, is sent to it again on a new connection, once. Once a byte was written, the request may have run, as before.

Calls about generations, to the store and to peers use the same client: one that is cut before its first byte is now reported as not sent as well.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HeadLimitingConnector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HeadLimitingConnector.java
@@ -9,14 +9,16 @@
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
+import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * Opens connections on an I/O thread and limits the size of the response heads that are
- * read from them. The HTTP client itself reads a head without a limit and without
- * returning to the event loop, so that a head without end would exhaust the memory and
- * block all other connections. The client connects through the thread that it is given,
- * which is why this class extends {@link XnioIoThread}; it is never started.
+ * Opens connections on an I/O thread, limits the size of the response heads that are read
+ * from them and tracks whether a request was written to them. The HTTP client itself
+ * reads a head without a limit and without returning to the event loop, so that a head
+ * without end would exhaust the memory and block all other connections. The client
+ * connects through the thread that it is given, which is why this class extends
+ * {@link XnioIoThread}; it is never started.
  */
 final class HeadLimitingConnector extends XnioIoThread {
 
@@ -24,6 +26,10 @@
 	static final Option<ResponseHeadLimit> RESPONSE_HEAD_LIMIT = Option.simple(HeadLimitingConnector.class,
 			"RESPONSE_HEAD_LIMIT", ResponseHeadLimit.class);
 
+	/** Connect option with the tracker of the bytes written to the connection. */
+	static final Option<WriteTracker> WRITE_TRACKER = Option.simple(HeadLimitingConnector.class, "WRITE_TRACKER",
+			WriteTracker.class);
+
 	private final XnioIoThread ioThread;
 
 	HeadLimitingConnector(XnioIoThread ioThread) {
@@ -35,9 +41,12 @@
 	public IoFuture<StreamConnection> openStreamConnection(SocketAddress destination,
 			ChannelListener<? super StreamConnection> openListener, OptionMap options) {
 		ResponseHeadLimit limit = options.get(RESPONSE_HEAD_LIMIT);
+		WriteTracker writeTracker = options.get(WRITE_TRACKER);
 		return this.ioThread.openStreamConnection(destination, (connection) -> {
 			ConduitStreamSourceChannel source = connection.getSourceChannel();
 			source.setConduit(new HeadLimitingConduit(source.getConduit(), limit));
+			ConduitStreamSinkChannel sink = connection.getSinkChannel();
+			sink.setConduit(new WriteTrackingConduit(sink.getConduit(), writeTracker));
 			openListener.handleEvent(connection);
 		}, options);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -21,9 +21,9 @@
 
 /**
  * Single HTTP call on a dedicated connection, which is closed when the call ends. Because
- * connections are not reused, a response cannot belong to another call, and a call whose
- * connection could not be established was not sent. The methods must be called on the I/O
- * thread that owns the call, and the listener is called on that thread. A call that
+ * connections are not reused, a response cannot belong to another call, and a call to
+ * whose connection no byte was written was not sent. The methods must be called on the
+ * I/O thread that owns the call, and the listener is called on that thread. A call that
  * cannot be started, or whose listener throws an exception, fails like any other.
  */
 public final class HttpClientCall {
@@ -48,6 +48,8 @@
 
 	private final ResponseHeadLimit headLimit = new ResponseHeadLimit();
 
+	private final WriteTracker writeTracker = new WriteTracker();
+
 	private ClientConnection connection;
 
 	private StreamSourceChannel responseChannel;
@@ -57,8 +59,6 @@
 	/** Sends the request on the established connection, {@code null} until then. */
 	private Runnable pendingSend;
 
-	private boolean requestSent;
-
 	private boolean closed;
 
 	private boolean cancelled;
@@ -86,7 +86,7 @@
 		this.connectTimer = this.connector.scheduleTimeout(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
 				connectTimeoutMillis);
 		try {
-			this.connector.connect(address, this.headLimit,
+			this.connector.connect(address, this.headLimit, this.writeTracker,
 					callback((connected) -> onConnected(connected, request, body), this::closeLateConnection));
 		}
 		catch (RuntimeException ex) {
@@ -147,7 +147,6 @@
 	}
 
 	private void sendRequest(ClientConnection connected, ClientRequest request, byte[] body) {
-		this.requestSent = true;
 		connected.sendRequest(request, callback((exchange) -> onRequestSent(exchange, body), (exchange) -> {
 		}));
 	}
@@ -267,7 +266,8 @@
 	private void reportFailure(String reason) {
 		this.failureReported = true;
 		try {
-			this.listener.onFailure(this.requestSent ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT, reason);
+			this.listener.onFailure(this.writeTracker.hasWritten() ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT,
+					reason);
 		}
 		catch (RuntimeException | StackOverflowError ex) {
 			STATE_LOGGER.atError().setCause(ex).log("exception while handling the failure of a call");
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
@@ -43,10 +43,12 @@
 		this.bufferPool = bufferPool;
 	}
 
-	void connect(String address, ResponseHeadLimit headLimit, ClientCallback<ClientConnection> callback) {
+	void connect(String address, ResponseHeadLimit headLimit, WriteTracker writeTracker,
+			ClientCallback<ClientConnection> callback) {
 		OptionMap options = OptionMap.builder()
 			.addAll(CONNECTION_OPTIONS)
 			.set(HeadLimitingConnector.RESPONSE_HEAD_LIMIT, headLimit)
+			.set(HeadLimitingConnector.WRITE_TRACKER, writeTracker)
 			.getMap();
 		UndertowClient.getInstance()
 			.connect(callback, URI.create("http://" + address), this.headLimitingConnector, this.bufferPool, options);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -51,7 +51,10 @@
 	 */
 	final Set<String> stoppingServers = new HashSet<>();
 
-	/** Ids of the servers to which a connection was not established in time. */
+	/**
+	 * Ids of the servers to which a connection was not established in time, or was closed
+	 * before the request was written to it.
+	 */
 	private final Set<String> unreachedServers = new HashSet<>();
 
 	CallerResponseWriter responseWriter;
@@ -120,14 +123,17 @@
 	}
 
 	/**
-	 * Allows a server to which no connection was established in time, so that it received
-	 * nothing, to be tried once more.
+	 * Allows a server that received nothing, because no connection was established in
+	 * time or it was closed first, to be tried once more.
 	 * @param serverId id of the server
+	 * @return {@code false} if it was tried once more already
 	 */
-	void allowSecondConnection(String serverId) {
-		if (this.unreachedServers.add(serverId)) {
+	boolean allowSecondConnection(String serverId) {
+		boolean allowed = this.unreachedServers.add(serverId);
+		if (allowed) {
 			this.triedServers.remove(serverId);
 		}
+		return allowed;
 	}
 
 	long promptTokens() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -33,6 +33,9 @@
 	/** Selects another server for a request and sends the request to it. */
 	private final Consumer<ActiveRequest> dispatcher;
 
+	/** Sends a request again to the server of an attempt, on a new connection. */
+	private final Consumer<ServerAttempt> resender;
+
 	private Consumer<ServerEntry> leavingListener = (server) -> {
 	};
 
@@ -40,7 +43,8 @@
 
 	AttemptOutcomeHandler(GatewayContext context, ConfigurationPoller configuration, RetryBudgets retryBudgets,
 			DataCentreReachabilityTracker reachability, ActiveRequestRegistry activeRequests,
-			PromptQuarantine promptQuarantine, ServiceResponseTimes responseTimes, Consumer<ActiveRequest> dispatcher) {
+			PromptQuarantine promptQuarantine, ServiceResponseTimes responseTimes, Consumer<ActiveRequest> dispatcher,
+			Consumer<ServerAttempt> resender) {
 		this.context = context;
 		this.configuration = configuration;
 		this.retryBudgets = retryBudgets;
@@ -49,6 +53,7 @@
 		this.promptQuarantine = promptQuarantine;
 		this.responseTimes = responseTimes;
 		this.dispatcher = dispatcher;
+		this.resender = resender;
 	}
 
 	/**
@@ -162,8 +167,9 @@
 		if (notSent && reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON)) {
 			this.reachability.recordConnectTimeout(attempt.server.registration.dataCentre(),
 					this.context.scheduler.nowMillis());
-			request.allowSecondConnection(attempt.server.registration.id());
 		}
+		boolean secondConnection = isUnreached(attempt, deliveryStatus, reason)
+				&& request.allowSecondConnection(attempt.server.registration.id());
 		if (successor && this.migrator.selectTargetAfterFailure(attempt)) {
 			this.migrator.stopAbandoned(attempt);
 			return;
@@ -171,6 +177,10 @@
 		if (this.migrator.takeOverFailedSource(attempt)) {
 			return;
 		}
+		if (secondConnection && attempt.isClosedBeforeSend() && attempt.dispatchHead.resumePoint().isPresent()) {
+			this.resender.accept(attempt);
+			return;
+		}
 		if (request.possibleExecutions == 0 && request.isAuthenticated()
 				&& !this.configuration.hasValidKey(request.head)) {
 			this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
@@ -185,6 +195,12 @@
 		}
 	}
 
+	private static boolean isUnreached(ServerAttempt attempt, DeliveryStatus deliveryStatus, String reason) {
+		boolean connectTimeout = deliveryStatus == DeliveryStatus.NOT_SENT
+				&& reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON);
+		return connectTimeout || attempt.isClosedBeforeSend();
+	}
+
 	private void retryOrEnd(ActiveRequest request, String reason, BooleanSupplier budget) {
 		RetryDecision decision = request.toRetryContext().decide(budget);
 		if (decision == RetryDecision.RETRY) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -57,7 +57,7 @@
 		this.streamRelay = new StreamRelay(context, activeRequests, promptQuarantine);
 		this.attemptSender = new AttemptSender(context, serverSelector);
 		this.outcomes = new AttemptOutcomeHandler(context, configuration, retryBudgets, reachability, activeRequests,
-				promptQuarantine, this.responseTimes, this::dispatch);
+				promptQuarantine, this.responseTimes, this::dispatch, this::sendAgain);
 	}
 
 	void setMigrator(GenerationMigrator migrator) {
@@ -178,7 +178,17 @@
 	 * @param entry the server
 	 */
 	private void send(ActiveRequest request, ServerEntry entry) {
-		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, Optional.empty());
+		send(request, entry, Optional.empty());
+	}
+
+	// Only the server that keeps a copy of a generation can continue it.
+	private void sendAgain(ServerAttempt unsent) {
+		endOnException(unsent.activeRequest,
+				() -> send(unsent.activeRequest, unsent.server, unsent.dispatchHead.resumePoint()));
+	}
+
+	private void send(ActiveRequest request, ServerEntry entry, Optional<GenerationResumePoint> resumePoint) {
+		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, resumePoint);
 		request.attempt = attempt;
 		startResponseTimer(attempt);
 		this.attemptSender.start(attempt);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -97,6 +97,9 @@
 	/** Whether this instance decided not to send the request. */
 	private boolean withdrawn;
 
+	/** Whether the established connection was closed before the request was written. */
+	private boolean closedBeforeSend;
+
 	ServerAttempt(GatewayContext context, RequestDispatcher dispatcher, ActiveRequest activeRequest, ServerEntry server,
 			DispatchHead dispatchHead, Optional<ServerEntry> backup) {
 		this.context = context;
@@ -177,6 +180,15 @@
 		return this.withdrawn;
 	}
 
+	/**
+	 * Returns whether the connection was closed before the request was written to it, so
+	 * that the server has received nothing.
+	 * @return {@code true} if the attempt ended for this reason
+	 */
+	boolean isClosedBeforeSend() {
+		return this.closedBeforeSend;
+	}
+
 	boolean isSuccessor() {
 		return this.activeRequest.successor == this;
 	}
@@ -383,7 +395,18 @@
 		this.detached = true;
 		this.brokenOff = hasResponse();
 		cancelResponseTimer();
-		this.dispatcher.outcomes().onAttemptFailed(this, this.sent ? deliveryStatus : DeliveryStatus.NOT_SENT, reason);
+		boolean notSent = !this.sent || deliveryStatus == DeliveryStatus.NOT_SENT;
+		if (notSent) {
+			recordNotSent();
+		}
+		this.dispatcher.outcomes().onAttemptFailed(this, notSent ? DeliveryStatus.NOT_SENT : deliveryStatus, reason);
+	}
+
+	// The connection may have been closed before any byte of the request was written.
+	private void recordNotSent() {
+		this.closedBeforeSend = this.sent;
+		this.activeRequest.possibleExecutions -= this.sent ? 1 : 0;
+		this.sent = false;
 	}
 
 	private void cancelResponseTimer() {
--- a/gateway/src/test/java/org/skylarkspring/gateway/http/HttpClientCallTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/http/HttpClientCallTests.java
@@ -15,6 +15,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -50,10 +51,16 @@
 
 	private static final long CONNECT_TIMEOUT_MILLIS = 60_000;
 
+	private static final byte[] BODY = new byte[10];
+
 	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
 
 	private final BlockingQueue<Integer> connectionEnds = new LinkedBlockingQueue<>();
 
+	private final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+
+	private volatile String response = RESPONSE;
+
 	private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
 	private XnioWorker worker;
@@ -86,8 +93,9 @@
 			while (true) {
 				Socket connection = this.server.accept();
 				this.connections.add(connection);
+				this.accepted.add(connection);
 				connection.getInputStream().read(new byte[4 * 1024]);
-				connection.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.UTF_8));
+				connection.getOutputStream().write(this.response.getBytes(StandardCharsets.UTF_8));
 				this.connectionEnds.add(connection.getInputStream().read());
 			}
 		}
@@ -185,6 +193,52 @@
 
 	}
 
+	@Nested
+	class WaitingConnections {
+
+		/** Time in which the client notices that a connection was closed. */
+		private static final long NOTICE_MILLIS = 200;
+
+		private HttpClientCall startWaitingCall() throws InterruptedException {
+			RecordingListener listener = new RecordingListener("none");
+			listener.decision = HttpClientCall.SendDecision.WAIT;
+			HttpClientCall call = new HttpClientCall(HttpClientCallTests.this.connector, listener);
+			ClientRequest request = new ClientRequest().setMethod(Methods.POST).setPath("/");
+			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, BODY.length);
+			HttpClientCallTests.this.worker.getIoThread(0)
+				.execute(() -> call.start(serverAddress(), request, BODY, CONNECT_TIMEOUT_MILLIS));
+			assertThat(nextEventOf("connected"), is("connected"));
+			return call;
+		}
+
+		@Test
+		void requestWhoseConnectionWasClosedWhileItWaitedIsNotTakenForSent() throws Exception {
+			HttpClientCall call = startWaitingCall();
+			awaitAcceptedConnection().close();
+			HttpClientCallTests.this.worker.getIoThread(0)
+				.executeAfter(call::send, NOTICE_MILLIS, TimeUnit.MILLISECONDS);
+			assertThat(nextEventOf("failure"), startsWith("failure NOT_SENT"));
+			assertNoFurtherEvent();
+		}
+
+		@Test
+		void requestWhoseConnectionIsClosedAfterItWasWrittenMayHaveRun() throws Exception {
+			HttpClientCallTests.this.response = "";
+			HttpClientCall call = startWaitingCall();
+			HttpClientCallTests.this.worker.getIoThread(0).execute(call::send);
+			Socket connection = awaitAcceptedConnection();
+			assertThat("byte after the first part of the request",
+					HttpClientCallTests.this.connectionEnds.poll(SILENCE_MILLIS, TimeUnit.MILLISECONDS), nullValue());
+			connection.close();
+			assertThat(nextEventOf("failure"), startsWith("failure UNKNOWN"));
+		}
+
+		private Socket awaitAcceptedConnection() throws InterruptedException {
+			return HttpClientCallTests.this.accepted.poll(EVENT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+
+	}
+
 	/**
 	 * Records the callbacks, one of which throws an exception.
 	 */
@@ -192,6 +246,8 @@
 
 		private final String failingCallback;
 
+		private HttpClientCall.SendDecision decision = HttpClientCall.SendDecision.SEND;
+
 		private RecordingListener(String failingCallback) {
 			this.failingCallback = failingCallback;
 		}
@@ -205,7 +261,8 @@
 		@Override
 		public HttpClientCall.SendDecision beforeSend() {
 			throwIf("beforeSend");
-			return HttpClientCall.SendDecision.SEND;
+			HttpClientCallTests.this.events.add("connected");
+			return this.decision;
 		}
 
 		@Override
