Carry on a generation whose target refuses after its source was stopped

Cause: the source is closed 10 ms after the target was asked, and a server drops a generation whose connection is closed. A refusal that came later ended the request. The usual reason of such a refusal is a backup that was never made: the target then has no copy and the source has nothing left. After a copy, the target still has it, because a refusal uses up no handle, but it was not asked again.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -68,7 +68,7 @@
 	 * @param successor the attempt on that server
 	 */
 	void onSuccessorEvent(ServerAttempt successor) {
-		this.migrator.replaceSource(successor);
+		this.migrator.onTargetEvent(successor);
 	}
 
 	/**
@@ -129,7 +129,7 @@
 		if (successor && this.migrator.selectTargetAfterFailure(attempt)) {
 			return;
 		}
-		if (!this.migrator.endIfResumeRejected(attempt)) {
+		if (!this.migrator.continueAfterRefusal(attempt) && !this.migrator.endIfResumeRejected(attempt)) {
 			retryOrEnd(request, "server refused", () -> this.retryBudgets.tryAcquireRetry(request.service.name()));
 		}
 	}
