Take back the continuation after late refusals for now

Conclusion: a stop order for each silent source changes the most common path of a migration, for a fault that was seen once. To be taken up again with the order sent only once the target has refused, or with the handle's answer awaited longer.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -76,9 +76,6 @@
 
 	GenerationMigration migration;
 
-	/** What the generation falls back on if its target refuses, {@code null} for none. */
-	ResumeFallback resumeFallback;
-
 	/** Number of attempts in which a server may have executed the request. */
 	int possibleExecutions;
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -73,7 +73,7 @@
 	 * @param successor the attempt on that server
 	 */
 	void onSuccessorEvent(ServerAttempt successor) {
-		this.migrator.onTargetEvent(successor);
+		this.migrator.replaceSource(successor);
 	}
 
 	/**
@@ -134,7 +134,7 @@
 		if (successor && this.migrator.selectTargetAfterFailure(attempt)) {
 			return;
 		}
-		if (!this.migrator.continueAfterRefusal(attempt) && !this.migrator.endIfResumeRejected(attempt)) {
+		if (!this.migrator.endIfResumeRejected(attempt)) {
 			retryOrEnd(request, "server refused", () -> this.retryBudgets.tryAcquireRetry(request.service.name()));
 		}
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -64,8 +64,6 @@
 
 	private final GenerationStopper stopper;
 
-	private final RefusedResumeHandler refusals;
-
 	GenerationMigrator(GatewayContext context, RequestDispatcher dispatcher, ActiveRequestRegistry activeRequests,
 			ServerSelector serverSelector) {
 		this.context = context;
@@ -73,8 +71,7 @@
 		this.activeRequests = activeRequests;
 		this.serverSelector = serverSelector;
 		this.stopper = new GenerationStopper(context.scheduler, context.log, context.metrics, this::sendRunQuery,
-				this::sendStopOrder, this::sendKeepOrder, this::releaseCopy);
-		this.refusals = new RefusedResumeHandler(context, dispatcher, activeRequests, this::releaseCopy);
+				this::sendStopOrder, this::releaseCopy);
 	}
 
 	private void sendRunQuery(String requestId, ServerEntry source, ServerEntry next,
@@ -91,13 +88,6 @@
 				(response) -> onResult.accept(response, this.context.serverProtocol.decodeStopResult(response)));
 	}
 
-	private void sendKeepOrder(String requestId, ServerEntry source, ServerEntry next,
-			GenerationStopper.ResultConsumer onResult) {
-		String address = source.registration.address();
-		sendToSource(address, this.context.serverProtocol.buildStopRequest(requestId, address),
-				(response) -> onResult.accept(response, this.context.serverProtocol.decodeKeepResult(response)));
-	}
-
 	private void sendToSource(String address, HttpTextRequest call, Consumer<HttpTextResult> onResult) {
 		this.context.client.sendAsync(address, call, GenerationStopper.CONNECT_TIMEOUT_MILLIS,
 				GenerationStopper.CALL_TIMEOUT_MILLIS, onResult);
@@ -240,16 +230,11 @@
 	 * @return {@code true} if the source is running, which is then stopped soon
 	 */
 	boolean mayAskSuccessor(ServerAttempt successor) {
-		if (this.refusals.isRepeat(successor)) {
-			this.refusals.onRepeatSent(successor);
-			migrateIfLeaving(successor);
-			return true;
-		}
 		GenerationMigration migration = successor.activeRequest.migration;
 		if (successor.activeRequest.attempt == migration.source) {
 			migration.stage = GenerationMigration.Stage.ASKED;
 			migration.askedMillis = this.context.scheduler.nowMillis();
-			this.context.scheduler.schedule(MAXIMUM_OVERLAP_MILLIS, () -> replaceSilentSource(successor));
+			this.context.scheduler.schedule(MAXIMUM_OVERLAP_MILLIS, () -> replaceSource(successor));
 			return true;
 		}
 		migration.stage = GenerationMigration.Stage.STOPPING;
@@ -262,82 +247,50 @@
 	}
 
 	/**
-	 * Handles an event of a server that continues a generation. The first one replaces
-	 * the source.
-	 * @param target the attempt on that server
+	 * Replaces the source by the server that continues a generation, and stops it. Has no
+	 * effect if the server does so already, or does not any more.
+	 * @param successor the attempt on that server
 	 */
-	void onTargetEvent(ServerAttempt target) {
-		replaceSource(target, this::closeSource);
-		this.refusals.onFirstEvent(target);
-	}
-
-	// A backup that does not exist is refused, and then only the source has the KV cache.
-	private void replaceSilentSource(ServerAttempt successor) {
-		boolean copied = successor.activeRequest.migration.copyHandle != null;
-		replaceSource(successor, copied ? this::closeSource : this::stopSourceKeepingCache);
-	}
-
-	private void replaceSource(ServerAttempt successor, SourceStop stop) {
+	void replaceSource(ServerAttempt successor) {
 		ActiveRequest request = successor.activeRequest;
 		if (request.finished || !successor.isSuccessor()) {
 			return;
 		}
 		GenerationMigration migration = request.migration;
-		request.stoppingServers.add(migration.source.server.registration.id());
-		this.activeRequests.detachAttempt(migration.source);
-		migration.source.ignoreResponse();
-		ResumeFallback fallback = promoteSuccessor(successor, migration);
-		stop.start(successor, migration, fallback);
-	}
-
-	private void closeSource(ServerAttempt successor, GenerationMigration migration, ResumeFallback fallback) {
-		ActiveRequest request = successor.activeRequest;
+		this.activeRequests.cancelAttempt(request.attempt);
+		promoteSuccessor(successor, migration);
 		ServerEntry source = migration.source.server;
-		migration.source.cancel();
+		request.stoppingServers.add(source.registration.id());
 		this.stopper.stopAfterClose(request.id(), source, successor.server, () -> request.usesServer(source),
-				(outcome) -> onSourceStopped(request, migration, fallback, outcome));
+				(outcome) -> onSourceStopped(request, migration, outcome));
 	}
 
-	private void stopSourceKeepingCache(ServerAttempt successor, GenerationMigration migration,
-			ResumeFallback fallback) {
-		ActiveRequest request = successor.activeRequest;
-		ServerEntry source = migration.source.server;
-		this.stopper.stopKeepingCache(request.id(), source, successor.server, () -> request.usesServer(source),
-				migration.source::cancel, (outcome) -> onSourceStopped(request, migration, fallback, outcome));
-	}
-
-	private ResumeFallback promoteSuccessor(ServerAttempt successor, GenerationMigration migration) {
+	private void promoteSuccessor(ServerAttempt successor, GenerationMigration migration) {
 		ActiveRequest request = successor.activeRequest;
 		migration.stage = GenerationMigration.Stage.RESUMED;
 		request.successor = null;
 		request.attempt = successor;
-		ResumeFallback fallback = this.refusals.remember(migration.source.server, successor, migration.resumePoint);
 		logResumption(request, migration);
-		migrateIfLeaving(successor);
-		return fallback;
-	}
-
-	private void migrateIfLeaving(ServerAttempt attempt) {
-		if (!attempt.server.acceptsRequests()) {
-			startMigration(attempt);
+		if (!successor.server.acceptsRequests()) {
+			startMigration(successor);
 		}
 	}
 
-	private void onSourceStopped(ActiveRequest request, GenerationMigration migration, ResumeFallback fallback,
+	private void onSourceStopped(ActiveRequest request, GenerationMigration migration,
 			GenerationStopper.Outcome outcome) {
 		long overlapMillis = this.context.scheduler.nowMillis() - migration.askedMillis;
 		this.context.metrics.recordGenerationOverlap(outcome.name(), overlapMillis);
+		handleOf(outcome).ifPresent((handle) -> releaseCopy(migration.source.server, handle));
 		recordStop(request, migration.source.server, outcome);
 		if (outcome instanceof GenerationStopper.Outcome.StillRunning) {
 			endWithoutOwner(request, migration);
 		}
-		this.refusals.onSourceStopped(request, fallback, outcome);
 	}
 
 	private void askAfterStop(ServerAttempt successor, GenerationMigration migration,
 			GenerationStopper.Outcome outcome) {
 		ActiveRequest request = successor.activeRequest;
-		outcome.handle().ifPresent((handle) -> migration.copyHandle = handle);
+		handleOf(outcome).ifPresent((handle) -> migration.copyHandle = handle);
 		if (request.finished || !successor.isSuccessor()) {
 			releaseUnusedCopy(migration);
 			return;
@@ -347,11 +300,10 @@
 			endWithoutOwner(request, migration);
 			return;
 		}
-		outcome.handle()
-			.ifPresent((handle) -> migration.resumePoint = new GenerationResumePoint(
-					migration.source.server.registration.address(), handle, Optional.empty()));
+		handleOf(outcome).ifPresent((handle) -> migration.resumePoint = new GenerationResumePoint(
+				migration.source.server.registration.address(), handle, Optional.empty()));
 		migration.askedMillis = this.context.scheduler.nowMillis();
-		this.refusals.onSourceStopped(request, promoteSuccessor(successor, migration), outcome);
+		promoteSuccessor(successor, migration);
 		request.possibleExecutions++;
 		successor.resumeFrom(
 				new GenerationResumePoint(migration.resumePoint.sourceAddress(), migration.resumePoint.cacheCopyId(),
@@ -359,6 +311,10 @@
 				Math.max(1, request.deadlineMillis - this.context.scheduler.nowMillis()));
 	}
 
+	private static Optional<String> handleOf(GenerationStopper.Outcome outcome) {
+		return (outcome instanceof GenerationStopper.Outcome.Stopped stopped) ? stopped.handle() : Optional.empty();
+	}
+
 	private static void recordStop(ActiveRequest request, ServerEntry source, GenerationStopper.Outcome outcome) {
 		if (outcome instanceof GenerationStopper.Outcome.Stopped) {
 			request.stoppingServers.remove(source.registration.id());
@@ -373,7 +329,7 @@
 		this.activeRequests.end(request, request.toRetryContext().decideWithoutRetry(),
 				"server does not stop the generation");
 		this.stopper.stopAfterClose(request.id(), migration.target, migration.source.server, () -> false,
-				(outcome) -> outcome.handle().ifPresent((handle) -> releaseCopy(migration.target, handle)));
+				(outcome) -> handleOf(outcome).ifPresent((handle) -> releaseCopy(migration.target, handle)));
 	}
 
 	private void logResumption(ActiveRequest request, GenerationMigration migration) {
@@ -412,7 +368,7 @@
 		this.stopper.stopAfterFailure(request.id(), abandoned.server, request.attempt.server,
 				() -> request.usesServer(abandoned.server), (outcome) -> {
 					recordStop(request, abandoned.server, outcome);
-					outcome.handle().ifPresent((handle) -> releaseCopy(abandoned.server, handle));
+					handleOf(outcome).ifPresent((handle) -> releaseCopy(abandoned.server, handle));
 				});
 	}
 
@@ -424,9 +380,6 @@
 	 */
 	boolean selectTargetAfterFailure(ServerAttempt successor) {
 		ActiveRequest request = successor.activeRequest;
-		if (this.refusals.isRepeat(successor)) {
-			return continueAfterRefusal(successor);
-		}
 		GenerationMigration migration = request.migration;
 		releaseUnusedCopy(migration);
 		if (isObsolete(request, migration)) {
@@ -469,31 +422,18 @@
 		GenerationMigration migration = request.migration;
 		ServerAttempt successor = request.successor;
 		if (migration.stage == GenerationMigration.Stage.ASKED) {
-			ResumeFallback fallback = promoteSuccessor(successor, migration);
+			promoteSuccessor(successor, migration);
 			ServerEntry source = migration.source.server;
 			request.stoppingServers.add(source.registration.id());
 			this.stopper.stopAfterFailure(request.id(), source, successor.server, () -> request.usesServer(source),
-					(outcome) -> onSourceStopped(request, migration, fallback, outcome));
+					(outcome) -> onSourceStopped(request, migration, outcome));
 		}
 	}
 
 	/**
-	 * Carries on a generation whose target refused it after the source was stopped.
-	 * @param refused the attempt that was refused or not sent
-	 * @return {@code false} if the generation cannot be carried on
-	 */
-	boolean continueAfterRefusal(ServerAttempt refused) {
-		boolean continues = this.refusals.continueAfterRefusal(refused);
-		if (continues) {
-			refused.activeRequest.migration.abort();
-		}
-		return continues;
-	}
-
-	/**
-	 * Ends a request if its server refused to resume the generation and nothing is left
-	 * to continue it from. Restarting it would execute it twice, which is allowed only
-	 * for retryable routes.
+	 * Ends a request if its server refused to resume the generation. No other server can
+	 * resume it, and restarting it would execute it twice, which is allowed only for
+	 * retryable routes.
 	 * @param attempt the attempt that was rejected
 	 * @return {@code true} if the request has been ended
 	 */
@@ -512,7 +452,6 @@
 	 * @param request the request
 	 */
 	void onRequestEnded(ActiveRequest request) {
-		this.refusals.release(request);
 		GenerationMigration migration = request.migration;
 		if (migration == null) {
 			return;
@@ -539,14 +478,4 @@
 						Map.of("source", source.registration.id(), "result", String.valueOf(result))));
 	}
 
-	/**
-	 * Stops the source of a generation that its target has taken over.
-	 */
-	@FunctionalInterface
-	private interface SourceStop {
-
-		void start(ServerAttempt successor, GenerationMigration migration, ResumeFallback fallback);
-
-	}
-
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationStopper.java
@@ -72,8 +72,6 @@
 
 	private final Caller stopOrder;
 
-	private final Caller keepOrder;
-
 	private final BiConsumer<ServerEntry, String> copyReleaser;
 
 	/**
@@ -83,18 +81,15 @@
 	 * @param metrics metrics
 	 * @param query asks a server whether it runs a generation
 	 * @param stopOrder orders a server to stop a generation
-	 * @param keepOrder orders a server to stop a generation and to keep its KV cache
-	 * without copying it
 	 * @param copyReleaser releases a copy that a server made too late, by its handle
 	 */
 	GenerationStopper(Scheduler scheduler, DecisionLog log, GatewayMetrics metrics, Caller query, Caller stopOrder,
-			Caller keepOrder, BiConsumer<ServerEntry, String> copyReleaser) {
+			BiConsumer<ServerEntry, String> copyReleaser) {
 		this.scheduler = scheduler;
 		this.log = log;
 		this.metrics = metrics;
 		this.query = query;
 		this.stopOrder = stopOrder;
-		this.keepOrder = keepOrder;
 		this.copyReleaser = copyReleaser;
 	}
 
@@ -114,27 +109,6 @@
 		this.scheduler.schedule(NOTICE_DELAY_MILLIS, order::send);
 	}
 
-	/**
-	 * Orders a server to stop a generation and to keep its KV cache, then closes its
-	 * connection and makes sure that it has stopped.
-	 * @param requestId id of the request
-	 * @param source server that runs the generation
-	 * @param next server that continues it
-	 * @param resumedOnSource whether the source continues the generation again, which
-	 * then must not be stopped
-	 * @param close closes the connection of the generation
-	 * @param onStopped receives the outcome, at most once; not if the source continues
-	 * the generation again
-	 */
-	void stopKeepingCache(String requestId, ServerEntry source, ServerEntry next, BooleanSupplier resumedOnSource,
-			Runnable close, Consumer<Outcome> onStopped) {
-		Order order = new Order(requestId, source, next, resumedOnSource, onStopped);
-		this.keepOrder.send(requestId, source, next, (response, result) -> {
-			close.run();
-			order.onResult(response, result);
-		});
-	}
-
 	/**
 	 * Makes sure that a server has stopped a generation whose connection has failed.
 	 * @param requestId id of the request
@@ -161,19 +135,11 @@
 		 */
 		String name();
 
-		/**
-		 * Returns the identifier of the KV cache that the server kept.
-		 * @return the identifier, empty for none
-		 */
-		default Optional<String> handle() {
-			return Optional.empty();
-		}
-
 		/**
 		 * The server does not run the generation any more.
 		 *
-		 * @param handle identifier of the KV cache that the server kept when it was
-		 * ordered to stop, empty if the generation had ended before
+		 * @param handle identifier of the KV cache that the server kept because it had
+		 * not noticed the closed connection, empty if the generation had ended before
 		 */
 		record Stopped(Optional<String> handle) implements Outcome {
 
@@ -361,8 +327,7 @@
 				return;
 			}
 			this.concluded = true;
-			boolean stoppedAtOnce = outcome.handle().isEmpty() || this.sends == 0;
-			boolean routine = outcome instanceof Outcome.Stopped && stoppedAtOnce;
+			boolean routine = outcome instanceof Outcome.Stopped stopped && stopped.handle().isEmpty();
 			if (!routine) {
 				logOutcome("generation had to be stopped", outcome.name() + ": " + reason);
 			}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -200,13 +200,11 @@
 	 * @param request the request
 	 * @param entry the server
 	 * @param resumePoint point from which the generation resumes
-	 * @return the attempt on that server
 	 */
-	ServerAttempt connectSuccessor(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint) {
+	void connectSuccessor(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint) {
 		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, Optional.of(resumePoint));
 		request.successor = attempt;
 		this.attemptSender.start(attempt);
-		return attempt;
 	}
 
 	private void startResponseTimer(ServerAttempt attempt) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -139,14 +139,9 @@
 	}
 
 	void cancel() {
-		ignoreResponse();
-		this.httpCall.cancel();
-	}
-
-	/** Ignores the rest of the response. Its connection stays open until cancelled. */
-	void ignoreResponse() {
 		this.detached = true;
 		cancelResponseTimer();
+		this.httpCall.cancel();
 	}
 
 	void resumeReads() {
@@ -324,8 +319,7 @@
 				.onAttemptFailed(this, DeliveryStatus.UNKNOWN, "missing event before event " + event.id().orElse("")));
 			return true;
 		}
-		boolean resumed = this.dispatchHead.resumePoint().isPresent() && this.receivedEvents == 1;
-		if (isSuccessor() || resumed) {
+		if (isSuccessor()) {
 			this.dispatcher.outcomes().onSuccessorEvent(this);
 		}
 		if (disposition == EventSequenceTracker.Disposition.DUPLICATE) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/port/ServerProtocol.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/port/ServerProtocol.java
@@ -74,15 +74,6 @@
 	 */
 	StopResult decodeStopResult(HttpTextResult result);
 
-	/**
-	 * Decodes the response to a call that stops a generation for no target but its own
-	 * server.
-	 * @param result result of the call
-	 * @return whether the generation has stopped, with the handle of the KV cache that
-	 * its server kept
-	 */
-	StopResult decodeKeepResult(HttpTextResult result);
-
 	/**
 	 * Builds the call that queries the state of a server.
 	 * @return the call
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/GenerationStopperTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/GenerationStopperTests.java
@@ -51,14 +51,11 @@
 
 	private Supplier<Answer> orderAnswer = () -> answered(RUNNING);
 
-	private Supplier<Answer> keepAnswer = () -> answered(RUNNING);
-
 	private boolean resumedOnSource;
 
 	private final GenerationStopper stopper = new GenerationStopper(this.scheduler, new DecisionLog(),
 			new GatewayMetrics(), (requestId, from, next, onResult) -> call("query", this.queryAnswer, onResult),
 			(requestId, from, next, onResult) -> call("order", this.orderAnswer, onResult),
-			(requestId, from, next, onResult) -> call("keep", this.keepAnswer, onResult),
 			(server, handle) -> this.releasedCopies.add(handle));
 
 	private static ServerEntry server(String id) {
@@ -91,11 +88,6 @@
 		this.stopper.stopAfterFailure("r1", this.source, this.target, () -> this.resumedOnSource, this.outcomes::add);
 	}
 
-	private void stopKeepingCache() {
-		this.stopper.stopKeepingCache("r1", this.source, this.target, () -> this.resumedOnSource,
-				() -> this.calls.add("close"), this.outcomes::add);
-	}
-
 	private record Answer(HttpTextResult response, StopResult result, long millis) {
 	}
 
@@ -171,40 +163,6 @@
 
 	}
 
-	@Nested
-	class KeptCaches {
-
-		@Test
-		void serverThatKeepsTheCacheIsClosedAndNotCalledAgain() {
-			GenerationStopperTests.this.keepAnswer = () -> answered(new StopResult.Stopped(Optional.of("h5")));
-			stopKeepingCache();
-			GenerationStopperTests.this.scheduler.advance(60_000);
-			assertThat(GenerationStopperTests.this.calls, contains("keep", "close"));
-			assertThat(GenerationStopperTests.this.outcomes,
-					contains(new GenerationStopper.Outcome.Stopped(Optional.of("h5"))));
-		}
-
-		@Test
-		void serverThatKeepsNothingIsClosedAndAskedWhetherItStopped() {
-			GenerationStopperTests.this.queryAnswer = () -> answered(ENDED);
-			stopKeepingCache();
-			GenerationStopperTests.this.scheduler.advance(MAXIMUM_OVERLAP_MILLIS / 2);
-			assertThat(GenerationStopperTests.this.calls, contains("keep", "close", "query"));
-			assertThat(GenerationStopperTests.this.outcomes,
-					contains(new GenerationStopper.Outcome.Stopped(Optional.empty())));
-		}
-
-		@Test
-		void serverThatDoesNotAnswerIsClosedAndReportedBeforeTheOverlapIsTooLong() {
-			GenerationStopperTests.this.keepAnswer = () -> failed(DeliveryStatus.UNKNOWN, "no complete response", 60);
-			stopKeepingCache();
-			GenerationStopperTests.this.scheduler.advance(MAXIMUM_OVERLAP_MILLIS - 10);
-			assertThat(GenerationStopperTests.this.calls, hasItem("close"));
-			assertThat(GenerationStopperTests.this.outcomes, contains(new GenerationStopper.Outcome.StillRunning()));
-		}
-
-	}
-
 	@Nested
 	class UnreachedServers {
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/WithdrawnSendTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/WithdrawnSendTests.java
@@ -207,11 +207,6 @@
 			throw new UnsupportedOperationException();
 		}
 
-		@Override
-		public StopResult decodeKeepResult(HttpTextResult result) {
-			throw new UnsupportedOperationException();
-		}
-
 		@Override
 		public HttpTextRequest buildReportRequest() {
 			throw new UnsupportedOperationException();
