Check again whether a server wants requests before a waiting continuation is sent

Servers that had just turned a request away with Retry-After were sent the continuation of a generation all the same: the connection to the backup is established and checked at once, and the request follows when the failed source has stopped, 0.1 s later or more. What the server said in between was not looked at.

Now the same check as at the connection is made at the moment of sending; a continuation that may not be sent is withdrawn, is no execution and no failure of the server, and the request ends as if it had been withdrawn at the connection: a resumable one goes elsewhere, another one is aborted. A server that leaves or is evacuated meanwhile is still asked, as before: only it has the copy.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -34,6 +34,8 @@
 	/** Failure reason: no process accepts connections at the address. */
 	public static final String CONNECTION_REFUSED_REASON = "connection refused";
 
+	private static final String WITHDRAWN_REASON = "call withdrawn before the request was sent";
+
 	/**
 	 * Number of body bytes read before other connections get their turn, so that a server
 	 * that sends at full speed does not delay them.
@@ -109,6 +111,14 @@
 		}
 	}
 
+	/**
+	 * Ends a call whose listener decided to wait, without sending its request. The
+	 * listener is told that it was not sent.
+	 */
+	public void withdraw() {
+		fail(new IOException(WITHDRAWN_REASON));
+	}
+
 	/** Cancels the call and closes its connection. The listener is not called again. */
 	public void cancel() {
 		this.cancelled = true;
@@ -142,7 +152,7 @@
 			send();
 		}
 		else if (decision == SendDecision.WITHDRAW) {
-			fail(new IOException("call withdrawn before the request was sent"));
+			withdraw();
 		}
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -242,7 +242,14 @@
 		return HttpClientCall.SendDecision.SEND;
 	}
 
-	private boolean maySend(ServerAttempt attempt) {
+	/**
+	 * Returns whether the request of an attempt may still be sent to its server. A copied
+	 * generation may continue on a server that terminates or is evacuated, because no
+	 * other one has the copy.
+	 * @param attempt the attempt
+	 * @return {@code false} if it has to be withdrawn
+	 */
+	boolean maySend(ServerAttempt attempt) {
 		ActiveRequest request = attempt.activeRequest;
 		boolean firstExecution = request.possibleExecutions == 0;
 		if (firstExecution && request.isAuthenticated() && !this.configuration.hasValidKey(request.head)) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -127,7 +127,7 @@
 
 	/**
 	 * Sends the request of an attempt that has waited for the source of its generation to
-	 * stop.
+	 * stop, unless its server wants no requests any more.
 	 * @param resumePoint point from which the generation resumes
 	 * @param remainingMillis time left until the caller's deadline, in milliseconds
 	 */
@@ -135,7 +135,13 @@
 		this.dispatchHead = this.dispatchHead.resumingFrom(resumePoint, remainingMillis);
 		this.context.serverProtocol.encodeRequestHeaders(this.dispatchHead, this.request.getRequestHeaders());
 		this.sent = true;
-		this.httpCall.send();
+		this.withdrawn = !this.dispatcher.maySend(this);
+		if (this.withdrawn) {
+			this.httpCall.withdraw();
+		}
+		else {
+			this.httpCall.send();
+		}
 	}
 
 	void cancel() {
@@ -402,9 +408,9 @@
 		this.dispatcher.outcomes().onAttemptFailed(this, notSent ? DeliveryStatus.NOT_SENT : deliveryStatus, reason);
 	}
 
-	// The connection may have been closed before any byte of the request was written.
+	// An attempt that was counted as an execution turned out to be none.
 	private void recordNotSent() {
-		this.closedBeforeSend = this.sent;
+		this.closedBeforeSend = this.sent && !this.withdrawn;
 		this.activeRequest.possibleExecutions -= this.sent ? 1 : 0;
 		this.sent = false;
 	}
