Test that what was acknowledged holds after power is lost everywhere

All gateways, or all entry instances, are killed at once right after an acknowledgement and start again with nothing but their settings and the store. All held on the present product; nothing in it is changed.

Gateways on the users' platform know neither keys of repeated orders nor leases, so that there is no test of them there.

--- a/bench/src/test/java/org/skylarkspring/bench/experiment/BookingHistoryChecker.java
+++ b/bench/src/test/java/org/skylarkspring/bench/experiment/BookingHistoryChecker.java
@@ -28,10 +28,21 @@
 
 	private final List<BookingResult> results = new ArrayList<>();
 
+	private List<SimulatedEntryInstance> entryInstances;
+
 	BookingHistoryChecker(Simulation simulation, long seed, boolean usesClaims) {
 		this.simulation = simulation;
 		this.random = new SplittableRandom(seed);
 		this.usesClaims = usesClaims;
+		this.entryInstances = simulation.entryInstances();
+	}
+
+	/**
+	 * Sends further bookings through other entry instances.
+	 * @param instances the instances
+	 */
+	void sendThrough(List<SimulatedEntryInstance> instances) {
+		this.entryInstances = instances;
 	}
 
 	void scheduleBookings(long periodMillis, int bookings, int repeats) {
@@ -47,8 +58,7 @@
 	}
 
 	private void sendBooking(int booking, String callId) {
-		List<SimulatedEntryInstance> liveInstances = this.simulation.entryInstances()
-			.stream()
+		List<SimulatedEntryInstance> liveInstances = this.entryInstances.stream()
 			.filter(SimulatedEntryInstance::isAlive)
 			.toList();
 		SimulatedEntryInstance entry = liveInstances.get(this.random.nextInt(liveInstances.size()));
--- a/core/src/test/java/org/skylarkspring/core/internal/LeaseSystemTests.java
+++ b/core/src/test/java/org/skylarkspring/core/internal/LeaseSystemTests.java
@@ -19,6 +19,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -30,6 +31,15 @@
 
 	private static final String LEASE_NAME = "duty";
 
+	/** Time by which an instance has acquired a lease and released it again. */
+	private static final long RELEASE_MILLIS = 5_000;
+
+	/** Time of the loss of power, by which another instance holds the lease. */
+	private static final long LOSS_MILLIS = 7_000;
+
+	/** Time by which the holder of before holds the lease again. */
+	private static final long REACQUISITION_MILLIS = 9_000;
+
 	private final Map<String, Long> versions = new HashMap<>();
 
 	private final Map<String, StoredObject> objects = new HashMap<>();
@@ -108,6 +118,60 @@
 
 	}
 
+	@Nested
+	class WhenAllInstancesHaveLostPower {
+
+		private final SplittableRandom random = new SplittableRandom(1);
+
+		private LeaseContender startWithNothingKept(String name) {
+			LeaseContender contender = new LeaseContender(name);
+			contender.faultsEnabled = false;
+			return contender;
+		}
+
+		private void run(LeaseContender contender, long fromMillis, long toMillis) {
+			for (long millis = fromMillis; millis < toMillis; millis += 100) {
+				contender.run(millis, this.random);
+			}
+		}
+
+		// The lease was released once, so that its fencing number is not the first one.
+		private long holdLease() {
+			LeaseContender earlier = startWithNothingKept("entry-9");
+			run(earlier, 0, RELEASE_MILLIS / 5);
+			earlier.leaseSystem.setWanted(LEASE_NAME, false);
+			run(earlier, RELEASE_MILLIS / 5, RELEASE_MILLIS);
+			LeaseContender lost = startWithNothingKept("entry-0");
+			run(lost, RELEASE_MILLIS, LOSS_MILLIS);
+			assertThat(lost.isHolder(LOSS_MILLIS), is(true));
+			return lost.leaseSystem.fencingNumber(LEASE_NAME);
+		}
+
+		@Test
+		void anotherInstanceWaitsForAcknowledgedLeaseAndTakesHigherFencingNumber() {
+			long lostFencingNumber = holdLease();
+			LeaseContender restarted = startWithNothingKept("entry-1");
+			long millis = LOSS_MILLIS;
+			while (!restarted.isHolder(millis) && millis < 60_000) {
+				millis += 100;
+				restarted.run(millis, this.random);
+			}
+			assertThat(millis - LOSS_MILLIS, greaterThanOrEqualTo(LeaseSystem.LEASE_DURATION_MILLIS));
+			assertThat(restarted.isHolder(millis), is(true));
+			assertThat(restarted.leaseSystem.fencingNumber(LEASE_NAME), greaterThan(lostFencingNumber));
+		}
+
+		@Test
+		void restartedHolderDoesNotGoBackToLowerFencingNumber() {
+			long lostFencingNumber = holdLease();
+			LeaseContender restarted = startWithNothingKept("entry-0");
+			run(restarted, LOSS_MILLIS, REACQUISITION_MILLIS);
+			assertThat(restarted.isHolder(REACQUISITION_MILLIS), is(true));
+			assertThat(restarted.leaseSystem.fencingNumber(LEASE_NAME), greaterThanOrEqualTo(lostFencingNumber));
+		}
+
+	}
+
 	/**
 	 * An instance that tries to hold the lease. At random it is paused, and its store
 	 * operations fail or lose their responses.
--- a/entry/src/test/java/org/skylarkspring/entry/internal/PlatformSyncTests.java
+++ b/entry/src/test/java/org/skylarkspring/entry/internal/PlatformSyncTests.java
@@ -10,10 +10,12 @@
 import org.junit.jupiter.api.Test;
 
 import org.skylarkspring.core.config.Configuration;
+import org.skylarkspring.core.config.DataCentreConfiguration;
 import org.skylarkspring.core.model.DrainDirective;
 import org.skylarkspring.core.model.InstanceRecord;
 import org.skylarkspring.core.model.InstanceRole;
 import org.skylarkspring.core.model.InstanceState;
+import org.skylarkspring.core.model.Verdict;
 import org.skylarkspring.entry.EntrySettings;
 import org.skylarkspring.entry.http.Json;
 
@@ -55,6 +57,11 @@
 			.split(new Configuration(revision, "p" + revision, List.of(), List.of(), List.of(), List.of()));
 	}
 
+	private static Configuration createConfigurationWithRegion(String region) {
+		return new Configuration(0, "", List.of(), List.of(), List.of(),
+				List.of(new DataCentreConfiguration("kigali-a", region)));
+	}
+
 	private static InstanceRecord createBackendInstance(String name) {
 		return new InstanceRecord(name, InstanceRole.BACKEND, "inyigisho", "kigali-a", "127.0.0.1:1",
 				InstanceState.LIVE);
@@ -86,6 +93,24 @@
 
 	}
 
+	@Nested
+	class WhenAllInstancesHaveLostPower {
+
+		@Test
+		void instanceWithNothingKeptAppliesNewestAcknowledgedRevision() {
+			ControlState lostState = new ControlState((event) -> {
+			}, new ServiceDirectory());
+			ConfigurationPublisher publisher = new ConfigurationPublisher(lostState, PlatformSyncTests.this.store);
+			publisher.publish(createConfigurationWithRegion("first"), -1).join();
+			assertThat(publisher.publish(createConfigurationWithRegion("newest"), -1).join().verdict(),
+					is(Verdict.RAN));
+			PlatformSyncTests.this.platformSync.start();
+			await(() -> PlatformSyncTests.this.state.revision() == 2);
+			assertThat(PlatformSyncTests.this.state.configuration(), is(lostState.configuration()));
+		}
+
+	}
+
 	@Nested
 	class WhenStoreHoldsOlderData {
 
