--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -77,6 +77,8 @@
 		if (this.lifecycle.isStopping()) {
 			exchange.setPersistent(false);
 		}
+		// The exchange ends when a handler returns without a dispatch, hence the second
+		// one.
 		exchange.dispatch(this.context.requestStarter,
 				(HttpHandler) (started) -> started.dispatch(SameThreadExecutor.INSTANCE,
 						() -> rejectOnException(started, "", () -> decodeAndRoute(started, arrivedMillis))));
