Ask once whether a connection timed out

The outcome handler compared the reason of a failure with the connect timeout twice, the second time in a method of its own. No change of behaviour; the tests of connections that are not accepted, of ejected servers and of stopped generations are green (7).

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -164,11 +164,12 @@
 			return;
 		}
 		boolean notSent = deliveryStatus == DeliveryStatus.NOT_SENT;
-		if (notSent && reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON)) {
+		boolean connectTimedOut = notSent && reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON);
+		if (connectTimedOut) {
 			this.reachability.recordConnectTimeout(attempt.server.registration.dataCentre(),
 					this.context.scheduler.nowMillis());
 		}
-		boolean secondConnection = isUnreached(attempt, deliveryStatus, reason)
+		boolean secondConnection = (connectTimedOut || attempt.isClosedBeforeSend())
 				&& request.allowSecondConnection(attempt.server.registration.id());
 		if (successor && this.migrator.selectTargetAfterFailure(attempt)) {
 			this.migrator.stopAbandoned(attempt);
@@ -195,12 +196,6 @@
 		}
 	}
 
-	private static boolean isUnreached(ServerAttempt attempt, DeliveryStatus deliveryStatus, String reason) {
-		boolean connectTimeout = deliveryStatus == DeliveryStatus.NOT_SENT
-				&& reason.equals(HttpClientCall.CONNECT_TIMEOUT_REASON);
-		return connectTimeout || attempt.isClosedBeforeSend();
-	}
-
 	private void retryOrEnd(ActiveRequest request, String reason, BooleanSupplier budget) {
 		RetryDecision decision = request.toRetryContext().decide(budget);
 		if (decision == RetryDecision.RETRY) {
