--- a/review/standins/Caller.java
+++ b/review/standins/Caller.java
@@ -186,6 +186,10 @@
 
 		String end = "";
 
+		boolean isServed() {
+			return this.complete && this.signed && this.status == 200;
+		}
+
 		@Override
 		public String toString() {
 			return "status " + this.status + ", " + this.bytes + " bytes of the body, " + this.end;
