--- a/review/standins/Caller.java
+++ b/review/standins/Caller.java
@@ -2,6 +2,7 @@
 import java.io.IOException;
 import java.io.FileDescriptor;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.lang.reflect.Method;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -68,17 +69,40 @@
 	}
 
 	void send(String line, String id, long deadlineMillis, byte[] body) throws IOException {
+		send(line, id, Manifest.KEY, deadlineMillis, body);
+	}
+
+	void send(String line, String id, String key, long deadlineMillis, byte[] body) throws IOException {
 		this.record.add("sent", "requester", id, line + " body " + body.length);
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		bytes.writeBytes((line + " HTTP/1.1\r\nHost: " + Manifest.HOST + "\r\nRequest-Id: " + id
-				+ "\r\nAuthorization: Token " + Manifest.KEY + "\r\nDeadline-Ms: " + deadlineMillis + "\r\n"
-				+ ((body.length > 0) ? "Content-Length: " + body.length + "\r\n" : "") + "\r\n")
-			.getBytes(StandardCharsets.ISO_8859_1));
+		bytes.writeBytes(head(line, id, key, deadlineMillis, body.length));
 		bytes.writeBytes(body);
 		this.socket.getOutputStream().write(bytes.toByteArray());
 		this.socket.getOutputStream().flush();
 	}
 
+	/** Sends a request whose body takes some time to arrive, as on a slow link. */
+	void sendSlowly(String line, String id, String key, long deadlineMillis, byte[] body, int parts, long millis)
+			throws IOException {
+		this.record.add("sent", "requester", id, line + " body " + body.length + ", within " + millis + " ms");
+		OutputStream out = this.socket.getOutputStream();
+		out.write(head(line, id, key, deadlineMillis, body.length));
+		for (int part = 0; part < parts; part++) {
+			int from = (int) ((long) body.length * part / parts);
+			out.write(body, from, (int) ((long) body.length * (part + 1) / parts) - from);
+			out.flush();
+			Threads.sleep((part + 1 < parts) ? millis / parts : 0);
+		}
+		this.record.add("last byte sent", "requester", id, "");
+	}
+
+	private static byte[] head(String line, String id, String key, long deadlineMillis, int length) {
+		return (line + " HTTP/1.1\r\nHost: " + Manifest.HOST + "\r\nRequest-Id: " + id + "\r\nAuthorization: Token "
+				+ key + "\r\nDeadline-Ms: " + deadlineMillis + "\r\n"
+				+ ((length > 0) ? "Content-Length: " + length + "\r\n" : "") + "\r\n")
+			.getBytes(StandardCharsets.ISO_8859_1);
+	}
+
 	/** Reads the answer and returns what became of it. */
 	Answer receive(String id) {
 		return receive(id, () -> {
--- a/review/standins/Manifest.java
+++ b/review/standins/Manifest.java
@@ -5,11 +5,28 @@
 
 	static final String KEY = "xd9dnn2ctnfzs989anu6";
 
+	static final String SECOND_KEY = "wsjnbanfqasnmgkcuyj8";
+
+	static final String THIRD_KEY = "b7mpc0h2ytw4qkzs8e1r";
+
+	static final String TENANT = "huka270";
+
+	static final String SECOND_TENANT = "lomi118";
+
 	private Manifest() {
 	}
 
 	static String text(int version, long timeoutMillis) {
-		return text(version, timeoutMillis, "");
+		return text(version, timeoutMillis, "", "'" + KEY + "'");
+	}
+
+	/** A manifest with a route that allows anonymous requests, and with a second key of the tenant or without it. */
+	static String withAnonymousRoute(int version, long timeoutMillis, boolean secondKey) {
+		return text(version, timeoutMillis, ",{'name':'r-open','host':'" + HOST
+				+ "','path-prefix':'/open/','kind':'non_idempotent','timeout-ms':" + timeoutMillis
+				+ ",'target-latency-ms':" + (timeoutMillis / 8) + ",'priority':2,'service':'records',"
+				+ "'max-attempts':1,'allow-anonymous':true,'sticky':false,'resumable':false}",
+				"'" + KEY + "'" + (secondKey ? ",'" + SECOND_KEY + "'" : ""));
 	}
 
 	/** The same manifest with one route more. */
@@ -17,10 +34,18 @@
 		return text(version, timeoutMillis, ",{'name':'r-intake','host':'" + HOST
 				+ "','path-prefix':'/intake/','kind':'non_idempotent','timeout-ms':" + timeoutMillis
 				+ ",'target-latency-ms':" + (timeoutMillis / 8) + ",'priority':2,'service':'records',"
-				+ "'max-attempts':1,'allow-anonymous':false,'sticky':false,'resumable':false}");
+				+ "'max-attempts':1,'allow-anonymous':false,'sticky':false,'resumable':false}", "'" + KEY + "'");
+	}
+
+	/** A manifest with a second tenant, to which the second key of the first one may have been given. */
+	static String withSecondTenant(int version, long timeoutMillis, boolean secondKeyMoved) {
+		String keys = "'" + KEY + "'" + (secondKeyMoved ? "" : ",'" + SECOND_KEY + "'");
+		return text(version, timeoutMillis, "", keys).replace("}]}", "},{\"name\":\"" + SECOND_TENANT
+				+ "\",\"api-keys\":[\"" + THIRD_KEY + "\"" + (secondKeyMoved ? ",\"" + SECOND_KEY + "\"" : "")
+				+ "],\"priority\":1}]}");
 	}
 
-	private static String text(int version, long timeoutMillis, String addedRoutes) {
+	private static String text(int version, long timeoutMillis, String addedRoutes, String keys) {
 		return ("{'version':" + version + ",'routes':["
 				+ "{'name':'r-look','host':'" + HOST + "','path-prefix':'/look/','kind':'idempotent','timeout-ms':"
 				+ timeoutMillis + ",'target-latency-ms':" + (timeoutMillis / 8)
@@ -34,7 +59,7 @@
 				+ "'tls':false,'cold-start-s':0.0,'cold-per-s':0.0}],"
 				+ "'limits':{'max-header-bytes':16384,'max-body-bytes':4194304,'header-timeout-ms':3000,"
 				+ "'idle-timeout-ms':15000},"
-				+ "'tenants':[{'name':'huka270','api-keys':['" + KEY + "'],'priority':1}]}")
+				+ "'tenants':[{'name':'" + TENANT + "','api-keys':[" + keys + "],'priority':1}]}")
 			.replace('\'', '"');
 	}
 
