--- a/review/standins/Manifest.java
+++ b/review/standins/Manifest.java
@@ -13,6 +13,10 @@
 
 	static final String SECOND_TENANT = "lomi118";
 
+	private static final String STREAMING = "'kind':'streaming','timeout-ms':39000,'target-latency-ms':1800,"
+			+ "'priority':1,'service':'model','max-attempts':1,'allow-anonymous':false,'sticky':true,"
+			+ "'resumable':false,'target-gap-ms':180}";
+
 	private Manifest() {
 	}
 
@@ -20,15 +24,6 @@
 		return text(version, timeoutMillis, "", "'" + KEY + "'");
 	}
 
-	/** A manifest with a route that allows anonymous requests, and with a second key of the tenant or without it. */
-	static String withAnonymousRoute(int version, long timeoutMillis, boolean secondKey) {
-		return text(version, timeoutMillis, ",{'name':'r-open','host':'" + HOST
-				+ "','path-prefix':'/open/','kind':'non_idempotent','timeout-ms':" + timeoutMillis
-				+ ",'target-latency-ms':" + (timeoutMillis / 8) + ",'priority':2,'service':'records',"
-				+ "'max-attempts':1,'allow-anonymous':true,'sticky':false,'resumable':false}",
-				"'" + KEY + "'" + (secondKey ? ",'" + SECOND_KEY + "'" : ""));
-	}
-
 	/** The same manifest with one route more. */
 	static String withAddedRoute(int version, long timeoutMillis) {
 		return text(version, timeoutMillis, ",{'name':'r-intake','host':'" + HOST
@@ -37,6 +32,15 @@
 				+ "'max-attempts':1,'allow-anonymous':false,'sticky':false,'resumable':false}", "'" + KEY + "'");
 	}
 
+	/** A manifest with two streaming routes, of which the second one may be missing. */
+	static String withStreams(int version, boolean second) {
+		String first = ",{'name':'r-plan','host':'" + HOST + "','path-prefix':'/plan/'," + STREAMING;
+		String added = ",{'name':'r-draft','host':'" + HOST + "','path-prefix':'/draft/'," + STREAMING;
+		return text(version, 39_000, first + (second ? added : ""), "'" + KEY + "'")
+			.replace("],\"limits\"", ",{\"name\":\"model\",\"health-path\":\"/health\",\"max-connections\":232,"
+					+ "\"protocol\":\"h1\",\"tls\":false,\"cold-start-s\":0.0,\"cold-per-s\":0.0}],\"limits\"");
+	}
+
 	/** A manifest with a second tenant, to which the second key of the first one may have been given. */
 	static String withSecondTenant(int version, long timeoutMillis, boolean secondKeyMoved) {
 		String keys = "'" + KEY + "'" + (secondKeyMoved ? "" : ",'" + SECOND_KEY + "'");
