--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -41,6 +41,7 @@
 	/** Runs the case and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. */
 	final void run() {
 		int status = 2;
+		Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
 		try (this.record; Store started = new Store()) {
 			this.store = started;
 			this.record.add("case", getClass().getSimpleName(), "", this.trouble ? "with the disruption" : "without");
@@ -62,7 +63,7 @@
 			ex.printStackTrace();
 		}
 		finally {
-			this.gateways.forEach(Gateway::close);
+			endProcesses();
 			deleteDirectory();
 		}
 		System.out.println(getClass().getSimpleName() + ": "
@@ -70,6 +71,11 @@
 		System.exit(status);
 	}
 
+	/** Ends all processes that the case has started. */
+	void endProcesses() {
+		List.copyOf(this.gateways).forEach(Gateway::close);
+	}
+
 	private void deleteDirectory() {
 		try (Stream<Path> files = Files.walk(this.directory)) {
 			files.sorted((first, second) -> second.compareTo(first)).forEach((file) -> file.toFile().delete());
--- a/review/standins/CrashBetweenEvents.java
+++ b/review/standins/CrashBetweenEvents.java
@@ -34,16 +34,13 @@
 	}
 
 	@Override
-	List<String> play() throws Exception {
-		try {
-			return playWithWorkers();
-		}
-		finally {
-			this.workers.forEach(Process::destroyForcibly);
-		}
+	void endProcesses() {
+		super.endProcesses();
+		List.copyOf(this.workers).forEach(Process::destroyForcibly);
 	}
 
-	private List<String> playWithWorkers() throws Exception {
+	@Override
+	List<String> play() throws Exception {
 		this.store.put("config", "main", Manifest.withEngine(2));
 		for (int number = 1; number <= WORKERS; number++) {
 			startWorker("m-" + number, ZONES.get(number % ZONES.size()));
