--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadReport.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadReport.java
@@ -1,8 +1,10 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.skylarkspring.gateway.model.ServerIncarnation;
+import org.skylarkspring.gateway.peer.PeerDigest;
 
 /**
  * Report of the load that instances have placed on the backend servers, sent between
@@ -15,9 +17,10 @@
  * @param draining incarnations of the servers that are listed as draining
  * @param rateLimits request rates that servers accept from all instances together,
  * {@code null} in reports of earlier versions
+ * @param digest sums that the parts of the instances exchange, {@code null} for none
  */
 record PeerLoadReport(String instanceId, boolean relay, List<ServerLoad> loads, List<ServerIncarnation> draining,
-		List<RateLimit> rateLimits) {
+		List<RateLimit> rateLimits, PeerDigest digest) {
 
 	/** Above any number of requests that instances send to one server. */
 	private static final int MAXIMUM_RUNNING = 1_000_000;
@@ -26,13 +29,17 @@
 	private static final long MAXIMUM_TOKENS = 1_000_000_000_000L;
 
 	PeerLoadReport(String instanceId, boolean relay, List<ServerLoad> loads, List<ServerIncarnation> draining) {
-		this(instanceId, relay, loads, draining, null);
+		this(instanceId, relay, loads, draining, null, null);
 	}
 
 	List<RateLimit> knownRateLimits() {
 		return (this.rateLimits != null) ? this.rateLimits : List.of();
 	}
 
+	PeerDigest knownDigest() {
+		return (this.digest != null) ? this.digest : PeerDigest.EMPTY;
+	}
+
 	boolean hasRequiredFields() {
 		return this.instanceId != null && this.loads != null && this.draining != null;
 	}
@@ -46,7 +53,8 @@
 		return new PeerLoadReport(this.instanceId, this.relay,
 				this.loads.stream().filter((load) -> load != null && load.isValid()).toList(),
 				this.draining.stream().filter(PeerLoadReport::isValid).toList(),
-				knownRateLimits().stream().filter((limit) -> limit != null && limit.isValid()).toList());
+				knownRateLimits().stream().filter((limit) -> limit != null && limit.isValid()).toList(),
+				PeerDigest.sum(Stream.of(knownDigest())));
 	}
 
 	private static boolean isValid(ServerIncarnation incarnation) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadSynchronizer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerLoadSynchronizer.java
@@ -1,5 +1,7 @@
 package org.skylarkspring.gateway.internal;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -12,6 +14,8 @@
 
 import org.skylarkspring.gateway.http.HttpTextRequest;
 import org.skylarkspring.gateway.http.HttpTextResult;
+import org.skylarkspring.gateway.peer.DigestParticipant;
+import org.skylarkspring.gateway.peer.PeerDigest;
 
 /**
  * Exchanges with peers the load that instances have placed on each server. Relays report
@@ -63,6 +67,8 @@
 
 	private final ServerRateLimits rateLimits;
 
+	private final List<DigestParticipant> participants = new ArrayList<>();
+
 	private boolean reportScheduled;
 
 	private Scheduler.Timer nextReportTimer;
@@ -75,6 +81,14 @@
 		this.bodies = new PeerRequestBodies(context.scheduler, context.log);
 	}
 
+	/**
+	 * Adds a part that exchanges sums with the other instances.
+	 * @param participant the part
+	 */
+	void addParticipant(DigestParticipant participant) {
+		this.participants.add(participant);
+	}
+
 	void start() {
 		sendReport();
 	}
@@ -158,15 +172,17 @@
 		boolean changed = this.peers.recordReport(report, now)
 				| this.rateLimits.applyReported(report.knownRateLimits());
 		this.peers.applyLoadsTo(this.servers, now);
+		publishDigest(now);
 		if (changed && !report.relay()) {
 			scheduleReport();
 		}
 	}
 
 	private String createResponseFor(String instanceId) {
-		Stream<PeerLoadReport.ServerLoad> peerLoads = this.peers.loadsExcluding(instanceId,
-				this.context.scheduler.nowMillis());
-		return this.gson.toJson(createReport(true, Stream.concat(ownLoads(), peerLoads)));
+		long now = this.context.scheduler.nowMillis();
+		return this.gson
+			.toJson(createReport(true, Stream.concat(ownLoads(), this.peers.loadsExcluding(instanceId, now)),
+					this.peers.digestsExcluding(instanceId, now)));
 	}
 
 	private void sendReport() {
@@ -195,13 +211,13 @@
 	 */
 	PeerLoadReport createOwnReport() {
 		reschedulePeriodicReport();
-		return createReport(false, ownLoads());
+		return createReport(false, ownLoads(), Stream.empty());
 	}
 
 	private void reportToRelays() {
-		Stream<PeerLoadReport.ServerLoad> forwardedLoads = this.peers
-			.loadsToForward(this.context.scheduler.nowMillis());
-		HttpTextRequest request = createRequest(createReport(true, Stream.concat(ownLoads(), forwardedLoads)));
+		long now = this.context.scheduler.nowMillis();
+		HttpTextRequest request = createRequest(createReport(true,
+				Stream.concat(ownLoads(), this.peers.loadsToForward(now)), this.peers.digestsToForward(now)));
 		this.peers.otherRelays()
 			.forEach((peer) -> this.context.client.sendAsync(peer.address, request, REPORT_TIMEOUT_MILLIS,
 					(result) -> this.context.metrics.recordDecision("peer told")));
@@ -213,8 +229,8 @@
 			callback.run();
 			return;
 		}
-		this.context.client.sendAsync(relay.get().address, createRequest(createReport(false, ownLoads())),
-				REPORT_TIMEOUT_MILLIS, (result) -> {
+		this.context.client.sendAsync(relay.get().address,
+				createRequest(createReport(false, ownLoads(), Stream.empty())), REPORT_TIMEOUT_MILLIS, (result) -> {
 					applyRelayResponse(relay.get(), result);
 					callback.run();
 				});
@@ -236,6 +252,18 @@
 		this.rateLimits.applyReported(report.get().knownRateLimits());
 		this.peers.recordRelayReport(report.get(), now);
 		this.peers.applyLoadsTo(this.servers, now);
+		publishDigest(now);
+	}
+
+	private void publishDigest(long nowMillis) {
+		if (!this.participants.isEmpty()) {
+			PeerDigest sum = this.peers.sumOfDigests(nowMillis);
+			this.participants.forEach((participant) -> participant.onPeerDigest(sum, nowMillis));
+		}
+	}
+
+	private Stream<PeerDigest> ownDigests(long nowMillis) {
+		return this.participants.stream().map((participant) -> participant.ownDigest(nowMillis));
 	}
 
 	private Stream<PeerLoadReport.ServerLoad> ownLoads() {
@@ -246,9 +274,12 @@
 					entry.reservedTokens, entry.pendingPrefillTokens));
 	}
 
-	private PeerLoadReport createReport(boolean relay, Stream<PeerLoadReport.ServerLoad> loads) {
+	private PeerLoadReport createReport(boolean relay, Stream<PeerLoadReport.ServerLoad> loads,
+			Stream<PeerDigest> forwardedDigests) {
+		long now = this.context.scheduler.nowMillis();
+		PeerDigest digest = PeerDigest.sum(Stream.concat(ownDigests(now), forwardedDigests));
 		return new PeerLoadReport(this.context.settings.instanceId(), relay, PeerTable.sumByServer(loads),
-				this.servers.drainingIncarnations(), this.rateLimits.toReport());
+				this.servers.drainingIncarnations(), this.rateLimits.toReport(), digest.isEmpty() ? null : digest);
 	}
 
 	private HttpTextRequest createRequest(PeerLoadReport report) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 
 import org.skylarkspring.core.hash.RendezvousHash;
+import org.skylarkspring.gateway.peer.PeerDigest;
 import org.skylarkspring.gateway.policy.ClusterMember;
 import org.skylarkspring.gateway.policy.RelaySelector;
 
@@ -126,6 +127,7 @@
 		}
 		boolean changed = !peer.loads.equals(report.loads());
 		peer.loads = report.loads();
+		peer.digest = report.knownDigest();
 		peer.aggregated = report.relay();
 		peer.lastReportMillis = nowMillis;
 		return changed;
@@ -138,7 +140,10 @@
 	 * @param nowMillis current time in milliseconds
 	 */
 	void recordRelayReport(PeerLoadReport report, long nowMillis) {
-		this.peers.values().forEach((peer) -> peer.loads = List.of());
+		this.peers.values().forEach((peer) -> {
+			peer.loads = List.of();
+			peer.digest = PeerDigest.EMPTY;
+		});
 		recordReport(report, nowMillis);
 	}
 
@@ -173,6 +178,35 @@
 			.flatMap((peer) -> peer.loads.stream());
 	}
 
+	/**
+	 * Returns the digests to forward to other relays.
+	 * @param nowMillis current time in milliseconds
+	 * @return digests of the peers that report only to this instance
+	 */
+	Stream<PeerDigest> digestsToForward(long nowMillis) {
+		return recentlyReportedPeers(nowMillis).filter((peer) -> !peer.aggregated).map((peer) -> peer.digest);
+	}
+
+	/**
+	 * Returns the digests of all peers except one.
+	 * @param instanceId id of the excluded peer
+	 * @param nowMillis current time in milliseconds
+	 * @return the digests
+	 */
+	Stream<PeerDigest> digestsExcluding(String instanceId, long nowMillis) {
+		return recentlyReportedPeers(nowMillis).filter((peer) -> !peer.member.instanceId().equals(instanceId))
+			.map((peer) -> peer.digest);
+	}
+
+	/**
+	 * Returns the sums over all peers.
+	 * @param nowMillis current time in milliseconds
+	 * @return the sums of the unexpired digests
+	 */
+	PeerDigest sumOfDigests(long nowMillis) {
+		return PeerDigest.sum(recentlyReportedPeers(nowMillis).map((peer) -> peer.digest));
+	}
+
 	private Stream<PeerEntry> recentlyReportedPeers(long nowMillis) {
 		return this.peers.values().stream().filter((peer) -> nowMillis - peer.lastReportMillis < LOAD_TTL_MILLIS);
 	}
@@ -254,6 +288,8 @@
 
 		List<PeerLoadReport.ServerLoad> loads = List.of();
 
+		PeerDigest digest = PeerDigest.EMPTY;
+
 		/** Whether the loads may include those of other instances. */
 		boolean aggregated;
 
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Gradual transfer of a service's traffic to servers of another version.
+ */
+package org.skylarkspring.gateway.rollout;
