--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -12,6 +12,7 @@
 import org.skylarkspring.gateway.model.RequestIdentity;
 import org.skylarkspring.gateway.model.RouteSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.placement.PlacementRequest;
 import org.skylarkspring.gateway.policy.EventSequenceTracker;
 import org.skylarkspring.gateway.policy.KvCacheEstimator;
 import org.skylarkspring.gateway.policy.RetryContext;
@@ -136,6 +137,11 @@
 		return this.identityKeys;
 	}
 
+	PlacementRequest toPlacementRequest(long nowMillis) {
+		return new PlacementRequest(this.service, this.route, this.reservedTokens, promptTokens(), this.body.length,
+				Math.max(0, this.deadlineMillis - nowMillis));
+	}
+
 	RetryContext toRetryContext() {
 		return new RetryContext(this.route.semantics().isRetryable(), isCommitted(), this.possibleExecutions,
 				this.route.maximumAttempts(), this.sendCount);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
@@ -92,8 +92,8 @@
 	private Optional<ServerEntry> selectBackup(ActiveRequest request, ServerEntry entry) {
 		boolean wanted = request.route.semantics().isStreaming() && !request.route.semantics().isRetryable()
 				&& request.service.engine().map(EngineSpec::supportsBackup).orElse(false);
-		return wanted ? this.serverSelector.selectBackup(request.service, request.reservedTokens, entry)
-				: Optional.empty();
+		return wanted ? this.serverSelector.selectBackup(request.toPlacementRequest(this.context.scheduler.nowMillis()),
+				entry) : Optional.empty();
 	}
 
 	private OptionalInt enginePriority(ActiveRequest request) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigrator.java
@@ -9,6 +9,7 @@
 import org.skylarkspring.gateway.model.EngineSpec;
 import org.skylarkspring.gateway.model.GenerationResumePoint;
 import org.skylarkspring.gateway.model.MigrationResult;
+import org.skylarkspring.gateway.placement.PlacementRequest;
 
 /**
  * Migrates running generations to other servers without interrupting the response, when
@@ -121,7 +122,8 @@
 		return Optional.ofNullable(attempt.backup)
 			.filter((backup) -> attempt.relayedEvents > 0)
 			.filter((backup) -> !attempt.activeRequest.stoppingServers.contains(backup.registration.id()))
-			.filter((backup) -> this.serverSelector.tryUseSelected(attempt.activeRequest.service, backup));
+			.filter((backup) -> this.serverSelector.tryUseSelected(toPlacementRequest(attempt.activeRequest), backup,
+					attempt.server));
 	}
 
 	private void connectBackup(ActiveRequest request, GenerationMigration migration, ServerEntry backup) {
@@ -139,8 +141,8 @@
 			migration.abort();
 			return;
 		}
-		Optional<ServerEntry> target = this.serverSelector.selectMigrationTarget(request.service,
-				request.reservedTokens, migration.source.server, excludedTargetIds(request, migration));
+		Optional<ServerEntry> target = this.serverSelector.selectMigrationTarget(toPlacementRequest(request),
+				migration.source.server, excludedTargetIds(request, migration));
 		if (target.isEmpty()) {
 			// Capacity may become available while the source still runs, also on
 			// servers that rejected the copy before.
@@ -153,6 +155,10 @@
 		copyTo(request, migration, target.get());
 	}
 
+	private PlacementRequest toPlacementRequest(ActiveRequest request) {
+		return request.toPlacementRequest(this.context.scheduler.nowMillis());
+	}
+
 	// A server that may still run the generation must not be asked to continue it.
 	private static Set<String> excludedTargetIds(ActiveRequest request, GenerationMigration migration) {
 		Set<String> excluded = new HashSet<>(migration.rejectedTargetIds);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -8,6 +8,7 @@
 import org.skylarkspring.gateway.model.GenerationResumePoint;
 import org.skylarkspring.gateway.model.RouteSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.placement.PlacementRequest;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.RetryDecision;
 
@@ -166,10 +167,10 @@
 		if (this.crashQuarantine.endIfQuarantined(request)) {
 			return;
 		}
+		PlacementRequest placement = request.toPlacementRequest(this.context.scheduler.nowMillis());
 		Optional<ServerEntry> server = request.route.semantics().isRetryable()
-				? this.serverSelector.selectServerForRetry(request.service, request.reservedTokens,
-						request.triedServers)
-				: this.serverSelector.selectServer(request.service, request.reservedTokens, request.triedServers);
+				? this.serverSelector.selectServerForRetry(placement, request.triedServers)
+				: this.serverSelector.selectServer(placement, request.triedServers);
 		if (server.isEmpty()) {
 			endWithoutServer(request);
 			return;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -1,5 +1,6 @@
 package org.skylarkspring.gateway.internal;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -11,6 +12,9 @@
 
 import org.skylarkspring.gateway.model.EngineSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.placement.PlacementRequest;
+import org.skylarkspring.gateway.placement.ServerGate;
+import org.skylarkspring.gateway.placement.ServerUse;
 import org.skylarkspring.gateway.policy.PlacementCandidate;
 import org.skylarkspring.gateway.policy.PlacementCostFunction;
 
@@ -48,6 +52,8 @@
 
 	private final DataCentreReachabilityTracker reachability;
 
+	private final List<ServerGate> gates = new ArrayList<>();
+
 	private Set<String> evacuatedDataCentres = Set.of();
 
 	ServerSelector(GatewayContext context, ServerTable serverTable, PeerTable peers, ServerRateLimits rateLimits,
@@ -60,6 +66,14 @@
 		this.placementCost = placementCost;
 	}
 
+	/**
+	 * Adds a condition that servers must meet to be used.
+	 * @param gate the condition
+	 */
+	void addGate(ServerGate gate) {
+		this.gates.add(gate);
+	}
+
 	void setEvacuatedDataCentres(Set<String> dataCentres) {
 		this.evacuatedDataCentres = Set.copyOf(dataCentres);
 	}
@@ -72,31 +86,31 @@
 	 * Selects a server for a request. If the server is cold or names a rate limit, a
 	 * permit is taken from this instance's share of the rate, which applies to all
 	 * instances together.
-	 * @param service service of the request
-	 * @param tokens amount of KV cache memory that the request needs, in tokens
+	 * @param request the request
 	 * @param excluded ids of the servers already tried
 	 * @return the server, empty if none can accept the request now
 	 */
-	Optional<ServerEntry> selectServer(ServiceSpec service, long tokens, Set<String> excluded) {
+	Optional<ServerEntry> selectServer(PlacementRequest request, Set<String> excluded) {
 		long now = this.context.scheduler.nowMillis();
-		List<ServerEntry> ranked = rankServers(service, tokens, (entry) -> !excluded.contains(entry.registration.id()));
-		return ranked.stream().filter((entry) -> tryAcquirePermits(service, entry, now)).findFirst();
+		List<ServerEntry> ranked = rankServers(request, (entry) -> !excluded.contains(entry.registration.id()));
+		return ranked.stream()
+			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
+			.findFirst();
 	}
 
 	/**
 	 * Selects a server for a request that may run more than once, in the same way. A
 	 * server that was tried before is preferred only to one that is ejected.
-	 * @param service service of the request
-	 * @param tokens amount of KV cache memory that the request needs, in tokens
+	 * @param request the request
 	 * @param tried ids of the servers already tried
 	 * @return the server, empty if none can accept the request now
 	 */
-	Optional<ServerEntry> selectServerForRetry(ServiceSpec service, long tokens, Set<String> tried) {
+	Optional<ServerEntry> selectServerForRetry(PlacementRequest request, Set<String> tried) {
 		long now = this.context.scheduler.nowMillis();
 		Comparator<ServerEntry> ejectedLast = Comparator.comparing((entry) -> entry.isEjected(now));
-		return rankServers(service, tokens, (entry) -> true).stream()
+		return rankServers(request, (entry) -> true).stream()
 			.sorted(ejectedLast.thenComparing((entry) -> tried.contains(entry.registration.id())))
-			.filter((entry) -> tryAcquirePermits(service, entry, now))
+			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
 			.findFirst();
 	}
 
@@ -116,41 +130,39 @@
 
 	/**
 	 * Selects a server for the copy of a generation.
-	 * @param service service of the generation
-	 * @param tokens amount of KV cache memory that the generation needs, in tokens
+	 * @param request request of the generation
 	 * @param source server that runs the generation
 	 * @param excluded ids of the servers that rejected the copy
 	 * @return the server, empty if none is eligible
 	 */
-	Optional<ServerEntry> selectMigrationTarget(ServiceSpec service, long tokens, ServerEntry source,
-			Set<String> excluded) {
+	Optional<ServerEntry> selectMigrationTarget(PlacementRequest request, ServerEntry source, Set<String> excluded) {
 		long now = this.context.scheduler.nowMillis();
-		return eligibleServers(service, (entry) -> entry != source && !excluded.contains(entry.registration.id()))
+		return eligibleServers(request, Optional.of(source),
+				(entry) -> entry != source && !excluded.contains(entry.registration.id()))
 			.filter((entry) -> !entry.isEjected(now))
-			.map((entry) -> new RankedServer(entry, migrationTargetCost(service, entry, tokens, source, now)))
+			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, now)))
 			.sorted(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server)
-			.filter((entry) -> tryAcquirePermits(service, entry, now))
+			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.of(source)), entry, now))
 			.findFirst();
 	}
 
 	/**
 	 * Selects a server for the backup of a generation. Backups use only memory that is
 	 * free on a server with a moderate load, so that they do not displace requests.
-	 * @param service service of the generation
-	 * @param tokens amount of KV cache memory that the generation needs, in tokens
+	 * @param request request of the generation
 	 * @param source server that runs the generation
 	 * @return the server, empty if none is eligible
 	 */
-	Optional<ServerEntry> selectBackup(ServiceSpec service, long tokens, ServerEntry source) {
+	Optional<ServerEntry> selectBackup(PlacementRequest request, ServerEntry source) {
 		long now = this.context.scheduler.nowMillis();
-		long capacity = service.engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
-		return eligibleServers(service, (entry) -> entry != source)
+		long capacity = request.service().engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
+		return eligibleServers(request, Optional.of(source), (entry) -> entry != source)
 			.filter((entry) -> !entry.isEjected(now) && now >= entry.coldUntilMillis)
 			.filter((entry) -> !this.rateLimits.isLimited(entry))
-			.filter((entry) -> entry.reservedTokens + entry.peerReservedTokens + tokens <= MAXIMUM_BACKUP_UTILIZATION
-					* capacity)
-			.map((entry) -> new RankedServer(entry, migrationTargetCost(service, entry, tokens, source, now)))
+			.filter((entry) -> entry.reservedTokens + entry.peerReservedTokens
+					+ request.reservedTokens() <= MAXIMUM_BACKUP_UTILIZATION * capacity)
+			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, now)))
 			.min(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server);
 	}
@@ -159,40 +171,54 @@
 	 * Returns whether a server that was selected earlier may receive a generation now. If
 	 * the server has become cold or names a rate limit, a permit is taken as for a
 	 * request.
-	 * @param service service of the generation
+	 * @param request request of the generation
 	 * @param entry the server
+	 * @param source server that runs the generation now
 	 * @return {@code false} if it terminates, has restarted, failed recently, is
 	 * evacuated, or has no permit left
 	 */
-	boolean tryUseSelected(ServiceSpec service, ServerEntry entry) {
+	boolean tryUseSelected(PlacementRequest request, ServerEntry entry, ServerEntry source) {
 		long now = this.context.scheduler.nowMillis();
+		ServerUse use = toUse(request, entry, Optional.of(source));
 		boolean current = this.serverTable.find(entry.registration.id()).filter((found) -> found == entry).isPresent();
 		return current && entry.acceptsRequests() && !entry.isEjected(now) && entry.backoffMillis(now) == 0
-				&& !isEvacuated(entry.registration.dataCentre()) && tryAcquirePermits(service, entry, now);
+				&& !isEvacuated(entry.registration.dataCentre()) && isAllowed(use, now)
+				&& tryAcquirePermits(use, entry, now);
 	}
 
 	// Many instances select targets at the same moment from the same data; the random
 	// part keeps them from all selecting the same server.
-	private double migrationTargetCost(ServiceSpec service, ServerEntry entry, long tokens, ServerEntry source,
-			long now) {
+	private double migrationTargetCost(PlacementRequest request, ServerEntry entry, ServerEntry source, long now) {
 		boolean crossDataCentre = !entry.registration.dataCentre().equals(source.registration.dataCentre());
-		return this.placementCost.cost(toCandidate(service, entry, now), tokens)
+		return this.placementCost.cost(toCandidate(request.service(), entry, now), request.reservedTokens())
 				+ (crossDataCentre ? CROSS_DATA_CENTRE_COST : 0)
 				+ TARGET_COST_JITTER * ThreadLocalRandom.current().nextDouble();
 	}
 
-	private List<ServerEntry> rankServers(ServiceSpec service, long tokens, Predicate<ServerEntry> allowed) {
+	private List<ServerEntry> rankServers(PlacementRequest request, Predicate<ServerEntry> allowed) {
 		long now = this.context.scheduler.nowMillis();
-		return eligibleServers(service, allowed)
-			.map((entry) -> new RankedServer(entry, this.placementCost.cost(toCandidate(service, entry, now), tokens)))
+		return eligibleServers(request, Optional.empty(), allowed)
+			.map((entry) -> new RankedServer(entry,
+					this.placementCost.cost(toCandidate(request.service(), entry, now), request.reservedTokens())))
 			.sorted(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server)
 			.toList();
 	}
 
-	private Stream<ServerEntry> eligibleServers(ServiceSpec service, Predicate<ServerEntry> allowed) {
+	private Stream<ServerEntry> eligibleServers(PlacementRequest request, Optional<ServerEntry> source,
+			Predicate<ServerEntry> allowed) {
 		long now = this.context.scheduler.nowMillis();
-		return usableServers(service).filter((entry) -> entry.backoffMillis(now) == 0).filter(allowed);
+		return usableServers(request.service()).filter((entry) -> entry.backoffMillis(now) == 0)
+			.filter(allowed)
+			.filter((entry) -> isAllowed(toUse(request, entry, source), now));
+	}
+
+	private boolean isAllowed(ServerUse use, long now) {
+		return this.gates.stream().allMatch((gate) -> gate.findObjection(use, now).isEmpty());
+	}
+
+	private static ServerUse toUse(PlacementRequest request, ServerEntry entry, Optional<ServerEntry> source) {
+		return new ServerUse(entry.registration, request, source.map((server) -> server.registration));
 	}
 
 	private Stream<ServerEntry> usableServers(ServiceSpec service) {
@@ -202,9 +228,10 @@
 			.filter((entry) -> !isEvacuated(entry.registration.dataCentre()));
 	}
 
-	private boolean tryAcquirePermits(ServiceSpec service, ServerEntry entry, long now) {
-		return this.rateLimits.millisUntilPermit(entry) == 0 && tryAcquireColdPermit(service, entry, now)
-				&& this.rateLimits.tryAcquire(entry);
+	private boolean tryAcquirePermits(ServerUse use, ServerEntry entry, long now) {
+		return this.rateLimits.millisUntilPermit(entry) == 0
+				&& this.gates.stream().allMatch((gate) -> gate.tryAcquire(use, now))
+				&& tryAcquireColdPermit(use.request().service(), entry, now) && this.rateLimits.tryAcquire(entry);
 	}
 
 	private boolean tryAcquireColdPermit(ServiceSpec service, ServerEntry entry, long now) {
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
@@ -0,0 +1,28 @@
+package org.skylarkspring.gateway.placement;
+
+import java.util.Optional;
+
+/**
+ * Condition that a server must meet to be used, whatever its load.
+ */
+public interface ServerGate {
+
+	/**
+	 * Returns why a server must not be used now. Takes no permit.
+	 * @param use the intended use
+	 * @param nowMillis current time in milliseconds
+	 * @return the reason, empty if the server may be used
+	 */
+	Optional<String> findObjection(ServerUse use, long nowMillis);
+
+	/**
+	 * Takes a permit for a use to which there is no objection.
+	 * @param use the intended use
+	 * @param nowMillis current time in milliseconds
+	 * @return {@code false} if there is no permit left
+	 */
+	default boolean tryAcquire(ServerUse use, long nowMillis) {
+		return true;
+	}
+
+}
