--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
@@ -84,10 +84,16 @@
 				Map.of("server", entry.registration.id(), "route", request.route.name(), "send", request.sendCount,
 						"continued", attempt.dispatchHead.resumePoint().isPresent(), "promised-tokens",
 						entry.reservedTokens, "running", entry.attempts.size() + entry.peerRunningRequests, "backup",
-						attempt.dispatchHead.backupAddress().orElse("")));
+						attempt.dispatchHead.backupAddress().orElse(""), "duration-percent", durationPercent(entry)));
 		attempt.start();
 	}
 
+	private String durationPercent(ServerEntry entry) {
+		OptionalInt percent = this.context.serverPaces.durationPercent(entry.registration.id(),
+				this.context.scheduler.nowMillis());
+		return percent.isPresent() ? String.valueOf(percent.getAsInt()) : "";
+	}
+
 	// A generation that can be restarted needs no backup: another server repeats it.
 	private Optional<ServerEntry> selectBackup(ActiveRequest request, ServerEntry entry) {
 		boolean wanted = request.route.semantics().isStreaming() && !request.route.semantics().isRetryable()
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/DataCentreReachabilityTracker.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/DataCentreReachabilityTracker.java
@@ -14,8 +14,22 @@
 
 	private final Map<String, Long> unreachableUntilMillis = new HashMap<>();
 
-	void recordConnectSuccess(String dataCentre) {
+	private final Map<String, Long> lastSuccessMillis = new HashMap<>();
+
+	void recordConnectSuccess(String dataCentre, long nowMillis) {
 		this.unreachableUntilMillis.remove(dataCentre);
+		this.lastSuccessMillis.put(dataCentre, nowMillis);
+	}
+
+	/**
+	 * Returns the time since a connection to a data centre was established.
+	 * @param dataCentre the data centre
+	 * @param nowMillis current time in milliseconds
+	 * @return the time in milliseconds, -1 if none ever was
+	 */
+	long millisSinceSuccess(String dataCentre, long nowMillis) {
+		Long last = this.lastSuccessMillis.get(dataCentre);
+		return (last != null) ? nowMillis - last : -1;
 	}
 
 	void recordConnectTimeout(String dataCentre, long nowMillis) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
@@ -8,6 +8,7 @@
 import org.skylarkspring.gateway.GatewaySettings;
 import org.skylarkspring.gateway.http.HttpConnector;
 import org.skylarkspring.gateway.http.HttpTextClient;
+import org.skylarkspring.gateway.placement.ServerPaces;
 import org.skylarkspring.gateway.port.CallerProtocol;
 import org.skylarkspring.gateway.port.ServerProtocol;
 
@@ -39,6 +40,8 @@
 
 	final GatewayMetrics metrics = new GatewayMetrics();
 
+	final ServerPaces serverPaces = new ServerPaces();
+
 	GatewayContext(GatewaySettings settings, XnioIoThread ioThread, ByteBufferPool buffers,
 			CallerProtocol callerProtocol, ServerProtocol serverProtocol) throws IOException {
 		this.settings = settings;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -20,8 +20,8 @@
 import org.skylarkspring.gateway.GatewaySettings;
 import org.skylarkspring.gateway.http.HttpTextClient;
 import org.skylarkspring.gateway.model.ObjectKind;
+import org.skylarkspring.gateway.placement.PlacementCostFunctions;
 import org.skylarkspring.gateway.policy.ClusterMember;
-import org.skylarkspring.gateway.policy.PlacementCostFunctions;
 import org.skylarkspring.gateway.port.CallerProtocol;
 import org.skylarkspring.gateway.port.ObjectDecoder;
 import org.skylarkspring.gateway.port.ObjectStore;
@@ -132,6 +132,7 @@
 		this.serverRateLimits = new ServerRateLimits(this.context, this.servers, this.peers);
 		this.peerLoadSynchronizer = new PeerLoadSynchronizer(this.context, this.peers, this.servers,
 				this.serverRateLimits);
+		this.peerLoadSynchronizer.addParticipant(this.context.serverPaces);
 		this.serverRateLimits.setChangeListener(this.peerLoadSynchronizer::scheduleReport);
 		this.relayedStore = new RelayedObjectStore(this.store,
 				new HttpRelayClient(this.context.client, this.context.log), this.context.scheduler, this.context.log,
@@ -141,7 +142,8 @@
 		this.storeRelay = new StoreRelayHandler(settings.instanceId(), this.context.scheduler, this.context.log,
 				this.configuration, this.peerLoadSynchronizer::applyReport);
 		this.serverSelector = new ServerSelector(this.context, this.servers, this.peers, this.serverRateLimits,
-				this.reachability, PlacementCostFunctions.leastLoaded());
+				this.reachability, PlacementCostFunctions.paceAware());
+		this.peerLoadSynchronizer.addParticipant(this.serverSelector.traffic());
 		this.activeRequests = new ActiveRequestRegistry(this.context, this.configuration);
 		this.crashQuarantine = new CrashQuarantine(this.context, this.store, this.activeRequests);
 		this.servers.setReplacementListener(this.crashQuarantine::onServerReplaced);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -267,7 +267,8 @@
 	 * evacuated
 	 */
 	HttpClientCall.SendDecision decideSend(ServerAttempt attempt) {
-		this.reachability.recordConnectSuccess(attempt.server.registration.dataCentre());
+		this.reachability.recordConnectSuccess(attempt.server.registration.dataCentre(),
+				this.context.scheduler.nowMillis());
 		if (!maySend(attempt)) {
 			return HttpClientCall.SendDecision.WITHDRAW;
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseHeadReader.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseHeadReader.java
@@ -7,6 +7,7 @@
 import io.undertow.client.ClientResponse;
 import io.undertow.util.Headers;
 
+import org.skylarkspring.gateway.model.LoadSample;
 import org.skylarkspring.gateway.model.ResponseHead;
 import org.skylarkspring.gateway.policy.ResponseHeadCheck;
 
@@ -83,6 +84,10 @@
 
 	private void recordServerState(ResponseHead head) {
 		this.dispatcher.serverRateLimits().recordResponse(this.server, head.rateLimit());
+		head.load()
+			.map(LoadSample::durationPercent)
+			.ifPresent((percent) -> percent.ifPresent((value) -> this.context.serverPaces
+				.recordReport(this.server.registration.id(), value, this.context.scheduler.nowMillis())));
 		head.backoffMillis().ifPresent(this::recordBackoff);
 		if (head.leaving()) {
 			this.dispatcher.outcomes().onServerLeaving(this.server);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -3,20 +3,26 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.skylarkspring.gateway.model.EngineSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.placement.Crossing;
+import org.skylarkspring.gateway.placement.DataCentreFlow;
+import org.skylarkspring.gateway.placement.DataCentreTraffic;
+import org.skylarkspring.gateway.placement.PlacementCandidate;
+import org.skylarkspring.gateway.placement.PlacementCostFunction;
 import org.skylarkspring.gateway.placement.PlacementRequest;
 import org.skylarkspring.gateway.placement.ServerGate;
 import org.skylarkspring.gateway.placement.ServerUse;
-import org.skylarkspring.gateway.policy.PlacementCandidate;
-import org.skylarkspring.gateway.policy.PlacementCostFunction;
+import org.skylarkspring.gateway.placement.ServicePaces;
 
 /**
  * Selects servers for requests and for copies of generations.
@@ -40,6 +46,12 @@
 	/** Upper bound of the random part of the cost, about the load of one generation. */
 	private static final double TARGET_COST_JITTER = 0.15;
 
+	/**
+	 * Difference of cost below which servers are chosen at random, so that instances with
+	 * the same data do not all choose the same one.
+	 */
+	private static final double NEAR_EQUAL_COST = 0.06;
+
 	private final ServerTable serverTable;
 
 	private final PeerTable peers;
@@ -52,6 +64,8 @@
 
 	private final DataCentreReachabilityTracker reachability;
 
+	private final DataCentreTraffic traffic = new DataCentreTraffic(this::ownFlows);
+
 	private final List<ServerGate> gates = new ArrayList<>();
 
 	private Set<String> evacuatedDataCentres = Set.of();
@@ -137,10 +151,12 @@
 	 */
 	Optional<ServerEntry> selectMigrationTarget(PlacementRequest request, ServerEntry source, Set<String> excluded) {
 		long now = this.context.scheduler.nowMillis();
+		Optional<ServicePaces> paces = findPaces(request.service(), now);
+		Map<String, Crossing> crossings = paces.isPresent() ? findCrossings(request.service(), now) : Map.of();
 		return eligibleServers(request, Optional.of(source),
 				(entry) -> entry != source && !excluded.contains(entry.registration.id()))
 			.filter((entry) -> !entry.isEjected(now))
-			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, now)))
+			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, paces, crossings, now)))
 			.sorted(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server)
 			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.of(source)), entry, now))
@@ -156,13 +172,15 @@
 	 */
 	Optional<ServerEntry> selectBackup(PlacementRequest request, ServerEntry source) {
 		long now = this.context.scheduler.nowMillis();
+		Optional<ServicePaces> paces = findPaces(request.service(), now);
+		Map<String, Crossing> crossings = paces.isPresent() ? findCrossings(request.service(), now) : Map.of();
 		long capacity = request.service().engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
 		return eligibleServers(request, Optional.of(source), (entry) -> entry != source)
 			.filter((entry) -> !entry.isEjected(now) && now >= entry.coldUntilMillis)
 			.filter((entry) -> !this.rateLimits.isLimited(entry))
 			.filter((entry) -> entry.reservedTokens + entry.peerReservedTokens
 					+ request.reservedTokens() <= MAXIMUM_BACKUP_UTILIZATION * capacity)
-			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, now)))
+			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, paces, crossings, now)))
 			.min(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server);
 	}
@@ -188,23 +206,69 @@
 
 	// Many instances select targets at the same moment from the same data; the random
 	// part keeps them from all selecting the same server.
-	private double migrationTargetCost(PlacementRequest request, ServerEntry entry, ServerEntry source, long now) {
+	private double migrationTargetCost(PlacementRequest request, ServerEntry entry, ServerEntry source,
+			Optional<ServicePaces> paces, Map<String, Crossing> crossings, long now) {
 		boolean crossDataCentre = !entry.registration.dataCentre().equals(source.registration.dataCentre());
-		return this.placementCost.cost(toCandidate(request.service(), entry, now), request.reservedTokens())
+		return this.placementCost.cost(toCandidate(request.service(), entry, crossings, now), request, paces)
 				+ (crossDataCentre ? CROSS_DATA_CENTRE_COST : 0)
 				+ TARGET_COST_JITTER * ThreadLocalRandom.current().nextDouble();
 	}
 
 	private List<ServerEntry> rankServers(PlacementRequest request, Predicate<ServerEntry> allowed) {
 		long now = this.context.scheduler.nowMillis();
+		Optional<ServicePaces> paces = findPaces(request.service(), now);
+		Map<String, Crossing> crossings = paces.isPresent() ? findCrossings(request.service(), now) : Map.of();
 		return eligibleServers(request, Optional.empty(), allowed)
 			.map((entry) -> new RankedServer(entry,
-					this.placementCost.cost(toCandidate(request.service(), entry, now), request.reservedTokens())))
+					this.placementCost.cost(toCandidate(request.service(), entry, crossings, now), request, paces)
+							+ (paces.isPresent() ? NEAR_EQUAL_COST * ThreadLocalRandom.current().nextDouble() : 0)))
 			.sorted(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server)
 			.toList();
 	}
 
+	private Map<String, Crossing> findCrossings(ServiceSpec service, long now) {
+		String home = this.context.settings.dataCentre();
+		long serverTokens = service.engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
+		boolean netImporter = this.traffic.isNetImporter(service.name(), home);
+		return usableServers(service).map((entry) -> entry.registration.dataCentre())
+			.filter((dataCentre) -> !dataCentre.equals(home))
+			.collect(Collectors.groupingBy((dataCentre) -> dataCentre, Collectors.counting()))
+			.entrySet()
+			.stream()
+			.collect(Collectors.toMap(Map.Entry::getKey,
+					(servers) -> new Crossing(
+							this.reachability.millisSinceSuccess(servers.getKey(), now), this.traffic
+								.foreignRoomTokens(service.name(), servers.getKey(), servers.getValue() * serverTokens),
+							netImporter)));
+	}
+
+	/**
+	 * Returns the exchange of the use of data centres with the other instances.
+	 * @return the part that takes part in the load reports
+	 */
+	DataCentreTraffic traffic() {
+		return this.traffic;
+	}
+
+	private List<DataCentreFlow> ownFlows() {
+		long now = this.context.scheduler.nowMillis();
+		return this.serverTable.all()
+			.stream()
+			.filter((entry) -> entry.reservedTokens > 0
+					&& this.context.serverPaces.durationPercent(entry.registration.id(), now).isPresent())
+			.map((entry) -> DataCentreFlow.of(entry.registration.service(), this.context.settings.dataCentre(),
+					entry.registration.dataCentre(), entry.reservedTokens))
+			.toList();
+	}
+
+	private Optional<ServicePaces> findPaces(ServiceSpec service, long now) {
+		return this.context.serverPaces.ofService(this.serverTable.findByService(service.name())
+			.stream()
+			.map((entry) -> entry.registration.id())
+			.toList(), now);
+	}
+
 	private Stream<ServerEntry> eligibleServers(PlacementRequest request, Optional<ServerEntry> source,
 			Predicate<ServerEntry> allowed) {
 		long now = this.context.scheduler.nowMillis();
@@ -245,14 +309,16 @@
 				Math.max(MINIMUM_SHARING_INSTANCES, sharingInstances));
 	}
 
-	private PlacementCandidate toCandidate(ServiceSpec service, ServerEntry entry, long now) {
+	private PlacementCandidate toCandidate(ServiceSpec service, ServerEntry entry, Map<String, Crossing> crossings,
+			long now) {
 		long memory = service.engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
 		return new PlacementCandidate(entry.registration.id(),
 				entry.registration.dataCentre().equals(this.context.settings.dataCentre()),
 				entry.attempts.size() + entry.peerRunningRequests, entry.registration.slots(),
 				entry.reservedTokens + entry.peerReservedTokens,
 				entry.pendingPrefillTokens + entry.peerPendingPrefillTokens, memory, entry.failureRate(now),
-				entry.isEjected(now), this.reachability.isUnreachable(entry.registration.dataCentre(), now));
+				entry.isEjected(now), this.reachability.isUnreachable(entry.registration.dataCentre(), now),
+				Optional.ofNullable(crossings.get(entry.registration.dataCentre())));
 	}
 
 	private record RankedServer(ServerEntry server, double cost) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
@@ -75,6 +75,7 @@
 		attempt.server.recordSuccess(this.context.scheduler.nowMillis());
 		this.crashQuarantine.recordPromptSuccess(request);
 		this.crashQuarantine.recordRequestSuccess(request);
+		recordPace(attempt);
 		if (!request.isCommitted()) {
 			request.responseWriter.startResponse(attempt.response().getResponseCode(),
 					RelayedHeads.responseHeaders(attempt.response()));
@@ -93,6 +94,18 @@
 		request.responseWriter.end();
 	}
 
+	// The pauses of a generation that was moved say nothing about one server.
+	private void recordPace(ServerAttempt attempt) {
+		ActiveRequest request = attempt.activeRequest;
+		if (attempt.relayedEvents < EVENTS_OF_SUCCESSFUL_START || request.sendCount > 1) {
+			return;
+		}
+		double meanIntervalMillis = (double) (request.lastEventMillis - request.firstEventMillis)
+				/ (attempt.relayedEvents - 1);
+		this.context.serverPaces.recordStream(attempt.server.registration.id(), meanIntervalMillis,
+				request.longestPauseMillis, this.context.scheduler.nowMillis());
+	}
+
 	/** Logs each stalled stream, once per pause. */
 	void logStalledStreams() {
 		long now = this.context.scheduler.nowMillis();
--- a/gateway/src/main/java/org/skylarkspring/gateway/peer/PeerDigest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/peer/PeerDigest.java
@@ -7,6 +7,7 @@
 import java.util.stream.Stream;
 
 import org.skylarkspring.gateway.admission.WorkspaceDemand;
+import org.skylarkspring.gateway.placement.DataCentreFlow;
 import org.skylarkspring.gateway.placement.ServerWork;
 import org.skylarkspring.gateway.pressure.ServerBodies;
 import org.skylarkspring.gateway.rollout.VersionOutcomes;
@@ -23,12 +24,26 @@
  * for none
  * @param serverBodies bodies of requests held by servers, by server; {@code null} for
  * none
+ * @param dataCentreFlows memory used by data centre of the instances and of the servers;
+ * {@code null} for none
  */
 public record PeerDigest(List<ServerWork> serverWork, List<VersionOutcomes> versionOutcomes,
-		List<WorkspaceDemand> workspaceDemand, List<ServerBodies> serverBodies) {
+		List<WorkspaceDemand> workspaceDemand, List<ServerBodies> serverBodies, List<DataCentreFlow> dataCentreFlows) {
 
 	/** Digest without entries. */
-	public static final PeerDigest EMPTY = new PeerDigest(null, null, null, null);
+	public static final PeerDigest EMPTY = new PeerDigest(null, null, null, null, null);
+
+	/**
+	 * Creates a digest without the use of data centres.
+	 * @param serverWork pace of servers
+	 * @param versionOutcomes outcomes of requests during rollouts
+	 * @param workspaceDemand capacity used and wanted
+	 * @param serverBodies bodies of requests held by servers
+	 */
+	public PeerDigest(List<ServerWork> serverWork, List<VersionOutcomes> versionOutcomes,
+			List<WorkspaceDemand> workspaceDemand, List<ServerBodies> serverBodies) {
+		this(serverWork, versionOutcomes, workspaceDemand, serverBodies, null);
+	}
 
 	/**
 	 * Adds up digests.
@@ -40,7 +55,8 @@
 		return new PeerDigest(sumByKey(present.stream().map(PeerDigest::serverWork)),
 				sumByKey(present.stream().map(PeerDigest::versionOutcomes)),
 				sumByKey(present.stream().map(PeerDigest::workspaceDemand)),
-				sumByKey(present.stream().map(PeerDigest::serverBodies)));
+				sumByKey(present.stream().map(PeerDigest::serverBodies)),
+				sumByKey(present.stream().map(PeerDigest::dataCentreFlows)));
 	}
 
 	// Absent lists are not written, so that deployments without these parts send nothing.
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/PlacementCandidate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/PlacementCandidate.java
@@ -1,4 +1,6 @@
-package org.skylarkspring.gateway.policy;
+package org.skylarkspring.gateway.placement;
+
+import java.util.Optional;
 
 /**
  * State of a server that determines its placement cost.
@@ -18,8 +20,10 @@
  * @param ejected whether the server failed recently and is not yet due for another
  * attempt
  * @param dataCentreUnreachable whether connections to its data centre failed recently
+ * @param crossing what is known about the way there, empty in the same data centre and
+ * for services whose servers report no pace
  */
 public record PlacementCandidate(String serverId, boolean sameDataCentre, int runningRequests, int slots,
 		long reservedTokens, long pendingPrefillTokens, long kvCapacityTokens, double failureRate, boolean ejected,
-		boolean dataCentreUnreachable) {
+		boolean dataCentreUnreachable, Optional<Crossing> crossing) {
 }
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerDispatcherTestBase.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerDispatcherTestBase.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.BeforeEach;
 
 import org.skylarkspring.gateway.model.ServerRegistration;
+import org.skylarkspring.gateway.placement.PlacementCostFunctions;
 import org.skylarkspring.gateway.policy.ClusterMember;
-import org.skylarkspring.gateway.policy.PlacementCostFunctions;
 
 /**
  * Base class of tests with one server, whose connections the tests accept.
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/PlacementCostFunctionsTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/placement/PlacementCostFunctionsTests.java
@@ -1,8 +1,16 @@
-package org.skylarkspring.gateway.policy;
+package org.skylarkspring.gateway.placement;
+
+import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.skylarkspring.gateway.model.RequestSemantics;
+import org.skylarkspring.gateway.model.RouteSpec;
+import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.model.WeightedService;
+
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThan;
@@ -12,14 +20,24 @@
  */
 class PlacementCostFunctionsTests {
 
+	private static final RouteSpec ROUTE = new RouteSpec("r", "a", "/", RequestSemantics.STREAM, 39_000, 1_800, 180, 0,
+			List.of(new WeightedService("s", 1)), 1, true);
+
 	private static final long KV_CAPACITY_TOKENS = 34_000;
 
 	private final PlacementCostFunction costFunction = PlacementCostFunctions.leastLoaded();
 
+	private static PlacementRequest request(long reservedTokens) {
+		return new PlacementRequest(new ServiceSpec("s", 0, Optional.empty()), ROUTE, reservedTokens, reservedTokens, 0,
+				10_000);
+	}
+
 	private double cost(int runningRequests, long reservedTokens, long pendingPrefillTokens, double failureRate,
 			boolean sameDataCentre) {
-		return this.costFunction.cost(new PlacementCandidate("s", sameDataCentre, runningRequests, 24, reservedTokens,
-				pendingPrefillTokens, KV_CAPACITY_TOKENS, failureRate, false, false), 3_500);
+		return this.costFunction.cost(
+				new PlacementCandidate("s", sameDataCentre, runningRequests, 24, reservedTokens, pendingPrefillTokens,
+						KV_CAPACITY_TOKENS, failureRate, false, false, Optional.empty()),
+				request(3_500), Optional.empty());
 	}
 
 	@Nested
@@ -49,8 +67,8 @@
 		@Test
 		void ranksServerInUnreachableDataCentreBehindFullServer() {
 			PlacementCandidate unreachable = new PlacementCandidate("s", false, 0, 24, 0, 0, KV_CAPACITY_TOKENS, 0,
-					false, true);
-			assertThat(PlacementCostFunctionsTests.this.costFunction.cost(unreachable, 0),
+					false, true, Optional.empty());
+			assertThat(PlacementCostFunctionsTests.this.costFunction.cost(unreachable, request(0), Optional.empty()),
 					greaterThan(cost(24, KV_CAPACITY_TOKENS, 0, 0, true)));
 		}
 
@@ -72,8 +90,8 @@
 		@Test
 		void ranksEjectedServerBehindFullRemoteServerWhoseRequestsAllFail() {
 			PlacementCandidate ejected = new PlacementCandidate("s", true, 0, 24, 0, 0, KV_CAPACITY_TOKENS, 0, true,
-					false);
-			assertThat(PlacementCostFunctionsTests.this.costFunction.cost(ejected, 0),
+					false, Optional.empty());
+			assertThat(PlacementCostFunctionsTests.this.costFunction.cost(ejected, request(0), Optional.empty()),
 					greaterThan(cost(24, KV_CAPACITY_TOKENS, KV_CAPACITY_TOKENS, 1, false)));
 		}
 
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decision logic of the gateway.
+ */
+package org.skylarkspring.gateway.placement;
