--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/PaceAwareCost.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/PaceAwareCost.java
@@ -26,7 +26,7 @@
 	/** KV cache utilization above which requests may be preempted. */
 	private static final double PREEMPTION_UTILIZATION = 0.92;
 
-	private static final double PREEMPTION_WEIGHT = 6;
+	private static final double PREEMPTION_WEIGHT = 25;
 
 	/**
 	 * Risk that the prefill of a prompt makes a stream late that already runs on a server
