--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
@@ -80,6 +80,9 @@
 		if (request.reservedTokens > 0) {
 			this.dispatchListener.run();
 		}
+		if (!entry.registration.dataCentre().equals(this.context.settings.dataCentre())) {
+			this.context.metrics.recordDecision("sent to another data centre");
+		}
 		this.context.log.logRoutineRequest(this.context.scheduler.nowMillis(), request.id(), "sent",
 				Map.of("server", entry.registration.id(), "route", request.route.name(), "send", request.sendCount,
 						"continued", attempt.dispatchHead.resumePoint().isPresent(), "promised-tokens",
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseHeadReader.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseHeadReader.java
@@ -8,6 +8,7 @@
 import io.undertow.util.Headers;
 
 import org.skylarkspring.gateway.model.LoadSample;
+import org.skylarkspring.gateway.model.ReportedPace;
 import org.skylarkspring.gateway.model.ResponseHead;
 import org.skylarkspring.gateway.policy.ResponseHeadCheck;
 
@@ -84,16 +85,28 @@
 
 	private void recordServerState(ResponseHead head) {
 		this.dispatcher.serverRateLimits().recordResponse(this.server, head.rateLimit());
-		head.load()
-			.map(LoadSample::durationPercent)
-			.ifPresent((percent) -> percent.ifPresent((value) -> this.context.serverPaces
-				.recordReport(this.server.registration.id(), value, this.context.scheduler.nowMillis())));
+		head.load().map(LoadSample::pace).ifPresent(this::recordPace);
 		head.backoffMillis().ifPresent(this::recordBackoff);
 		if (head.leaving()) {
 			this.dispatcher.outcomes().onServerLeaving(this.server);
 		}
 	}
 
+	private void recordPace(ReportedPace pace) {
+		String serverId = this.server.registration.id();
+		if (pace instanceof ReportedPace.Duration duration) {
+			this.context.serverPaces.recordReport(serverId, duration.durationPercent(),
+					this.context.scheduler.nowMillis());
+		}
+		else if (pace instanceof ReportedPace.Invalid invalid) {
+			this.context.metrics.recordDecision("invalid pace of server ignored");
+			if (this.context.serverPaces.recordInvalid(serverId)) {
+				this.context.log.logStateChange("invalid pace of server ignored",
+						Map.of("server", serverId, "pace", invalid.text()));
+			}
+		}
+	}
+
 	private void recordBackoff(long millis) {
 		this.server.backOffUntil(this.context.scheduler.nowMillis() + millis);
 		this.context.metrics.recordDecision("server asked to be left alone");
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerPaces.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerPaces.java
@@ -1,11 +1,14 @@
 package org.skylarkspring.gateway.placement;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
 
 import org.skylarkspring.gateway.peer.DigestParticipant;
 import org.skylarkspring.gateway.peer.PeerDigest;
@@ -31,8 +34,13 @@
 
 	private static final double PERCENT = 100;
 
+	/** Above the number of servers of a deployment. */
+	private static final int MAXIMUM_INVALID_SERVERS = 10_000;
+
 	private final Map<String, Entry> entries = new HashMap<>();
 
+	private final Set<String> invalidServers = new HashSet<>();
+
 	private Map<String, ServerWork> peers = Map.of();
 
 	/**
@@ -48,6 +56,18 @@
 		entry.latestMillis = nowMillis;
 	}
 
+	/**
+	 * Records that a server reported something that is no pace.
+	 * @param serverId id of the server
+	 * @return whether this is the first time, so that it has to be logged
+	 */
+	public boolean recordInvalid(String serverId) {
+		if (this.invalidServers.size() >= MAXIMUM_INVALID_SERVERS) {
+			this.invalidServers.clear();
+		}
+		return this.invalidServers.add(serverId);
+	}
+
 	/**
 	 * Records a stream that ran on one server only. Ignored if the server reports no
 	 * pace.
@@ -112,7 +132,7 @@
 
 	// What the streams of all servers show, as on a server of the usual pace.
 	private static OptionalDouble normalize(Map<String, ServerWork> works, Map<String, ServerPace> paces,
-			java.util.function.ToDoubleFunction<ServerWork> sum) {
+			ToDoubleFunction<ServerWork> sum) {
 		double streams = works.values().stream().mapToDouble(ServerWork::streams).sum();
 		double normalized = works.values()
 			.stream()
