Treat a response with an invalid status as a failed attempt

The status is checked on the bytes of the connection, for all calls in one place, because the HTTP client converts any integer and does not name a text that it cannot convert. The log names the status. The attempt fails as one whose execution is unknown, without suspicion of a crash.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HeadLimitingConduit.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HeadLimitingConduit.java
@@ -3,13 +3,14 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.Optional;
 
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Conduit that applies a {@link ResponseHeadLimit} and its {@link ResponseChunkCheck} to
- * the bytes read from a connection.
+ * Conduit that applies a {@link ResponseHeadLimit}, its {@link ResponseStatusCheck} and
+ * its {@link ResponseChunkCheck} to the bytes read from a connection.
  */
 final class HeadLimitingConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
@@ -52,10 +53,19 @@
 	private void receive(ByteBuffer buffer, int start) throws IOException {
 		int count = buffer.position() - start;
 		if (count > 0) {
+			requireValidStatus(buffer.duplicate().flip().position(start));
 			this.chunkCheck.receive(buffer.duplicate().flip().position(start));
 			this.chunkCheck.requireWithinLimit();
 			this.limit.countReceived(count);
 		}
 	}
 
+	private void requireValidStatus(ByteBuffer bytes) throws IOException {
+		this.limit.statusCheck().receive(bytes);
+		Optional<String> fault = this.limit.statusCheck().fault();
+		if (fault.isPresent()) {
+			throw new IOException(fault.get());
+		}
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientCallback;
@@ -296,7 +297,12 @@
 
 	private void reportFailure(String reason) {
 		this.failureReported = true;
+		boolean invalidStatus = this.headLimit.statusCheck().fault().isPresent();
 		try {
+			if (invalidStatus) {
+				this.listener.onInvalidStatus(reason);
+				return;
+			}
 			this.listener.onFailure(this.writeTracker.hasWritten() ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT,
 					reason);
 		}
@@ -307,6 +313,10 @@
 
 	// The HTTP client replaces the exception of a failed read by one of its own.
 	private String describe(IOException failure) {
+		Optional<String> invalidStatus = this.headLimit.statusCheck().fault();
+		if (invalidStatus.isPresent()) {
+			return invalidStatus.get();
+		}
 		if (this.headLimit.isExceeded()) {
 			return this.headLimit.reason();
 		}
@@ -411,6 +421,15 @@
 		 */
 		void onFailure(DeliveryStatus outcome, String reason);
 
+		/**
+		 * Called instead of {@link #onFailure} when the status of the response is none
+		 * that a response may have. The server lives, but nothing is known of the call.
+		 * @param reason description that names the status, for logs
+		 */
+		default void onInvalidStatus(String reason) {
+			onFailure(DeliveryStatus.UNKNOWN, reason);
+		}
+
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseHeadLimit.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseHeadLimit.java
@@ -13,6 +13,8 @@
 
 	private final ResponseChunkCheck chunkCheck = new ResponseChunkCheck();
 
+	private final ResponseStatusCheck statusCheck = new ResponseStatusCheck();
+
 	private int receivedBytes;
 
 	private boolean headComplete;
@@ -27,6 +29,14 @@
 		return this.chunkCheck;
 	}
 
+	/**
+	 * Returns the check of the statuses in the head.
+	 * @return the check for the same connection
+	 */
+	ResponseStatusCheck statusCheck() {
+		return this.statusCheck;
+	}
+
 	/** Records that the head is complete, so that further bytes are not limited. */
 	void markHeadComplete() {
 		this.headComplete = true;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -278,6 +278,13 @@
 		this.dispatcher.outcomes().onAttemptFailed(this, DeliveryStatus.UNKNOWN, reason);
 	}
 
+	@Override
+	public void onInvalidStatus(String reason) {
+		if (!this.detached) {
+			cancelAndFail(reason);
+		}
+	}
+
 	@Override
 	public int maximumReadBytes() {
 		return this.dispatcher.responseMemory().maximumResponseBytes();
