--- a/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
@@ -26,10 +26,12 @@
  * @param coldBurstAllowance requests that a cold server accepts in any second in addition
  * to 1.5 times its rate
  * @param cores processor cores the instance may use
+ * @param memoryBytes memory above which the process is killed, 0 if unknown
  */
 public record GatewaySettings(String instanceId, String dataCentre, String callerAddress, String readinessAddress,
 		String metricsAddress, String peerAddress, long revocationMillis, long shutdownGraceMillis, double retryRatio,
-		double fixedRetriesPerWindow, long retryWindowMillis, double coldBurstAllowance, double cores) {
+		double fixedRetriesPerWindow, long retryWindowMillis, double coldBurstAllowance, double cores,
+		long memoryBytes) {
 
 	/**
 	 * Creates a builder with default values.
@@ -72,6 +74,8 @@
 
 		private double cores = 1;
 
+		private long memoryBytes;
+
 		private Builder(String instanceId, String dataCentre) {
 			this.instanceId = Objects.requireNonNull(instanceId, "instanceId");
 			this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
@@ -174,6 +178,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the memory above which the process is killed.
+		 * @param bytes number of bytes, 0 if unknown
+		 * @return this builder
+		 */
+		public Builder memoryBytes(long bytes) {
+			this.memoryBytes = bytes;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
@@ -182,7 +196,7 @@
 			return new GatewaySettings(this.instanceId, this.dataCentre, this.callerAddress, this.readinessAddress,
 					this.metricsAddress, this.peerAddress, this.revocationMillis, this.shutdownGraceMillis,
 					this.retryRatio, this.fixedRetriesPerWindow, this.retryWindowMillis, this.coldBurstAllowance,
-					this.cores);
+					this.cores, this.memoryBytes);
 		}
 
 		private static long requirePositive(String name, long value) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -275,6 +275,8 @@
 	 */
 	void detachAttempt(ServerAttempt attempt) {
 		if (attempt.server.attempts.remove(attempt)) {
+			this.context.outstandingBodies.recordEnded(attempt.server.registration, attempt.activeRequest.body.length,
+					this.context.scheduler.nowMillis());
 			attempt.server.reservedTokens -= attempt.activeRequest.reservedTokens;
 			attempt.markPrefillComplete();
 			attempt.releaseReservations();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -142,7 +142,10 @@
 		ActiveRequest request = attempt.activeRequest;
 		boolean successor = attempt.isSuccessor();
 		this.activeRequests.detachAttempt(attempt);
-		if (!attempt.isWithdrawn()) {
+		if (attempt.isCutUnread()) {
+			this.context.metrics.recordDecision("unread response cut by server");
+		}
+		else if (!attempt.isWithdrawn()) {
 			attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
 		}
 		if (request.finished) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
@@ -61,6 +61,8 @@
 				backup.map((server) -> server.registration.address()));
 		ServerAttempt attempt = new ServerAttempt(this.context, dispatcher, request, entry, head, backup);
 		entry.attempts.add(attempt);
+		this.context.outstandingBodies.recordSent(entry.registration, request.body.length,
+				this.context.scheduler.nowMillis());
 		entry.reservedTokens += request.reservedTokens;
 		backup.ifPresent((server) -> server.reservedTokens += request.reservedTokens);
 		attempt.pendingPrefillTokens = resumePoint.isPresent() ? 0 : request.promptTokens();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerResponseWriter.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerResponseWriter.java
@@ -91,7 +91,7 @@
 		}
 		addPending(part);
 		flushPending();
-		this.readsSuspended = this.pending.size() > this.memory.maximumResponseBytes();
+		this.readsSuspended = this.pending.size() > this.memory.maximumPendingBytes();
 		return !this.readsSuspended;
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CrashQuarantine.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CrashQuarantine.java
@@ -161,6 +161,11 @@
 	}
 
 	private void reportRequestCrash(ServerIncarnation server, List<String> requestKeys) {
+		this.context.outstandingBodies.recordCrash(server, this.context.scheduler.nowMillis()).ifPresent((bound) -> {
+			this.context.metrics.recordDecision("bound of bodies lowered");
+			this.context.log.logStateChange("server crashed holding large bodies, bound of its service lowered",
+					Map.of("server", server.serverId(), "bound-bytes", bound));
+		});
 		if (this.requestCrashes.reportCrash(server, requestKeys)) {
 			applyQuarantines();
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
@@ -10,6 +10,7 @@
 import org.skylarkspring.gateway.http.HttpTextClient;
 import org.skylarkspring.gateway.port.CallerProtocol;
 import org.skylarkspring.gateway.port.ServerProtocol;
+import org.skylarkspring.gateway.pressure.OutstandingBodies;
 
 /**
  * Objects shared by all components of a gateway.
@@ -35,6 +36,9 @@
 	/** Starts requests, so that a burst of them does not delay those being served. */
 	final TurnLimitedExecutor requestStarter;
 
+	/** Request bodies that servers hold. */
+	final OutstandingBodies outstandingBodies = new OutstandingBodies();
+
 	final DecisionLog log = new DecisionLog();
 
 	final GatewayMetrics metrics = new GatewayMetrics();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
@@ -12,6 +12,8 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.skylarkspring.gateway.pressure.MemorySample;
+
 /**
  * Counters and histograms of a gateway.
  */
@@ -88,6 +90,26 @@
 		.help("Keys of requests that are not sent to servers because servers crashed on them")
 		.register(this.registry);
 
+	private final Gauge memoryLiveBytes = Gauge.builder()
+		.name("gateway_memory_live_bytes")
+		.help("Estimated bytes of the heap that a collection cannot free, 0 while little of the heap is in use")
+		.register(this.registry);
+
+	private final Gauge memoryLimitBytes = Gauge.builder()
+		.name("gateway_memory_limit_bytes")
+		.help("Limit of the bytes that a collection cannot free")
+		.register(this.registry);
+
+	private final Gauge shedding = Gauge.builder()
+		.name("gateway_shedding")
+		.help("1 if new requests are turned away for lack of memory")
+		.register(this.registry);
+
+	private final Gauge largestServerBodyBytes = Gauge.builder()
+		.name("gateway_server_body_bytes_max")
+		.help("Largest sum of request bodies that a backend server holds for all instances")
+		.register(this.registry);
+
 	private final Gauge configurationAgeSeconds = Gauge.builder()
 		.name("gateway_configuration_age_seconds")
 		.help("Time since the store last confirmed the configuration, negative if it is unknown")
@@ -138,6 +160,21 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Shows the memory of the instance.
+	 * @param sample latest sample
+	 * @param shedding whether new work is turned away
+	 */
+	void recordMemory(MemorySample sample, boolean shedding) {
+		this.memoryLiveBytes.set(sample.liveBytes());
+		this.memoryLimitBytes.set(sample.limitBytes());
+		this.shedding.set(shedding ? 1 : 0);
+	}
+
+	void setLargestServerBodyBytes(long bytes) {
+		this.largestServerBodyBytes.set(bytes);
+	}
+
 	void setActiveRequests(int count) {
 		this.activeRequests.set(count);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -97,6 +97,8 @@
 
 	private final CallerBodies bodies;
 
+	private final InstanceMemory memory;
+
 	private Undertow httpServer;
 
 	private CallerListener callerListener;
@@ -142,7 +144,10 @@
 				this.configuration, this.peerLoadSynchronizer::applyReport);
 		this.serverSelector = new ServerSelector(this.context, this.servers, this.peers, this.serverRateLimits,
 				this.reachability, PlacementCostFunctions.leastLoaded());
+		this.serverSelector.addGate(this.context.outstandingBodies);
+		this.peerLoadSynchronizer.addParticipant(this.context.outstandingBodies);
 		this.activeRequests = new ActiveRequestRegistry(this.context, this.configuration);
+		this.memory = new InstanceMemory(this.context, this.activeRequests);
 		this.crashQuarantine = new CrashQuarantine(this.context, this.store, this.activeRequests);
 		this.servers.setReplacementListener(this.crashQuarantine::onServerReplaced);
 		this.dispatcher = new RequestDispatcher(this.context, this.configuration, this.serverSelector,
@@ -163,7 +168,7 @@
 	/** Starts the listeners and the background tasks. */
 	public void start() {
 		HttpHandler ingress = new IngressHandler(this.context, this.configuration, this.dispatcher, this.activeRequests,
-				this.lifecycle, this.connections, this.bodies);
+				this.lifecycle, this.connections, this.bodies, this.memory);
 		Undertow.Builder builder = CallerTimeoutSystem.configureListeners(Undertow.builder())
 			.setWorker(this.worker)
 			.setByteBufferPool(this.context.buffers)
@@ -267,6 +272,7 @@
 		this.dispatcher.streamRelay().logStalledStreams();
 		this.callerTimeouts.tick(now);
 		this.crashQuarantine.tick();
+		this.memory.tick();
 		this.context.metrics.recordState(this.servers.all().stream().filter(ServerEntry::acceptsRequests).count(),
 				this.configuration.ageMillis());
 		this.context.metrics
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -23,6 +23,7 @@
 import org.skylarkspring.gateway.model.RoutingTable;
 import org.skylarkspring.gateway.model.ServiceSpec;
 import org.skylarkspring.gateway.model.WorkspaceSpec;
+import org.skylarkspring.gateway.pressure.MemoryDecision;
 
 /**
  * Receives requests from callers: validates the head, determines route and workspace,
@@ -65,11 +66,13 @@
 
 	private final CallerBodies bodies;
 
+	private final InstanceMemory memory;
+
 	private final RequestRejector rejector;
 
 	IngressHandler(GatewayContext context, ConfigurationPoller configuration, RequestDispatcher dispatcher,
 			ActiveRequestRegistry activeRequests, Lifecycle lifecycle, CallerConnectionTracker connections,
-			CallerBodies bodies) {
+			CallerBodies bodies, InstanceMemory memory) {
 		this.context = context;
 		this.configuration = configuration;
 		this.dispatcher = dispatcher;
@@ -77,6 +80,7 @@
 		this.lifecycle = lifecycle;
 		this.connections = connections;
 		this.bodies = bodies;
+		this.memory = memory;
 		this.rejector = new RequestRejector(context, configuration, bodies, activeRequests.bodyMemory());
 	}
 
@@ -234,6 +238,11 @@
 			this.rejector.rejectWithRetryAfter(exchange, head.requestId(), SHUTTING_DOWN_REASON);
 			return;
 		}
+		if (this.memory.decision() instanceof MemoryDecision.Shed shed) {
+			this.context.metrics.recordDecision("request turned away for lack of memory");
+			this.rejector.rejectWithRetryAfter(exchange, head.requestId(), shed.toString());
+			return;
+		}
 		CallerLimits limits = table.callerLimits();
 		if (headBytes(exchange) > limits.maximumHeaderBytes()) {
 			exchange.setPersistent(false);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseMemory.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseMemory.java
@@ -13,6 +13,9 @@
 	/** Part of the free memory that one response may use. */
 	private static final int PARTS = 128;
 
+	/** Part of half of the free memory that may be held for one slow caller. */
+	private static final int SLOW_CALLER_PARTS = 8;
+
 	/** Maximum number of bytes of one response while there are few. */
 	static final int MAXIMUM_RESPONSE_BYTES = 64 * 1024;
 
@@ -21,6 +24,18 @@
 
 	private long heldBytes;
 
+	/**
+	 * Returns how many bytes a response may hold for a slow caller before its server is
+	 * read no longer. While memory is free, these are more than may be held elsewhere, so
+	 * that the server can complete the response and need not cut it. Half of the memory
+	 * is left to other responses.
+	 * @return number of bytes, at least {@link #maximumResponseBytes()}
+	 */
+	int maximumPendingBytes() {
+		long part = (SHARED_BYTES / 2 - this.heldBytes) / SLOW_CALLER_PARTS;
+		return (int) Math.max(maximumResponseBytes(), part);
+	}
+
 	/**
 	 * Returns how many bytes of a response may be held now in each place where they wait:
 	 * as an incomplete event, until the response is complete, or until the caller takes
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -14,6 +14,7 @@
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.EventSequenceTracker;
 import org.skylarkspring.gateway.policy.SseEvent;
+import org.skylarkspring.gateway.pressure.ReadPauses;
 
 /**
  * One attempt to send a request to a server. Holds the state of the call and passes on
@@ -69,6 +70,8 @@
 
 	private final StreamEndCheck streamEndCheck;
 
+	private final ReadPauses pauses = new ReadPauses();
+
 	private final ClientRequest request = new ClientRequest();
 
 	private ClientResponse response;
@@ -78,6 +81,9 @@
 	/** Whether the server ended the connection before its response was complete. */
 	private boolean brokenOff;
 
+	/** Whether the server may have cut its response because it was not read in time. */
+	private boolean cutUnread;
+
 	/** Whether the connection ended after the request was sent to the server. */
 	private boolean connectionLost;
 
@@ -158,6 +164,7 @@
 	}
 
 	void resumeReads() {
+		this.pauses.resume(this.context.scheduler.nowMillis());
 		this.httpCall.resumeReads();
 	}
 
@@ -181,7 +188,7 @@
 	 * @return {@code true} if the server may have crashed on the prompt
 	 */
 	boolean isLostAtStart() {
-		return this.brokenOff && this.streaming && this.relayedEvents <= MAXIMUM_EVENTS_AT_START
+		return this.brokenOff && !this.cutUnread && this.streaming && this.relayedEvents <= MAXIMUM_EVENTS_AT_START
 				&& this.dispatchHead.resumePoint().isEmpty() && this.server.acceptsRequests();
 	}
 
@@ -212,6 +219,19 @@
 		return this.closedBeforeSend;
 	}
 
+	/**
+	 * Returns whether the server may have cut its response because this instance did not
+	 * read it in time for a slow caller, which is no failure of the server.
+	 * @return {@code true} if reading had paused for long
+	 */
+	boolean isCutUnread() {
+		return this.cutUnread;
+	}
+
+	private boolean mayBeCutUnread() {
+		return this.pauses.mayHaveCausedCut(this.context.scheduler.nowMillis());
+	}
+
 	boolean isSuccessor() {
 		return this.activeRequest.successor == this;
 	}
@@ -296,7 +316,11 @@
 			data.position(data.limit());
 			return true;
 		}
-		return this.streaming ? onStreamData(data) : onBodyData(data);
+		boolean continueReading = this.streaming ? onStreamData(data) : onBodyData(data);
+		if (!continueReading) {
+			this.pauses.pause(this.context.scheduler.nowMillis());
+		}
+		return continueReading;
 	}
 
 	private boolean onStreamData(ByteBuffer data) {
@@ -358,6 +382,15 @@
 		}
 		cancelResponseTimer();
 		this.detached = true;
+		// The end of such a response looks the same whether it is complete or cut.
+		if (framing() == ResponseFraming.CONNECTION_CLOSE && mayBeCutUnread()) {
+			this.cutUnread = true;
+			this.brokenOff = true;
+			this.dispatcher.outcomes()
+				.onAttemptFailed(this, DeliveryStatus.UNKNOWN,
+						"connection closed, perhaps because the response was not read in time");
+			return;
+		}
 		if (!this.streaming) {
 			this.dispatcher.outcomes().onResponseComplete(this);
 			return;
@@ -388,7 +421,8 @@
 		this.brokenOff = hasResponse();
 		cancelResponseTimer();
 		boolean notSent = !this.sent || deliveryStatus == DeliveryStatus.NOT_SENT;
-		this.connectionLost = !notSent;
+		this.cutUnread = hasResponse() && mayBeCutUnread();
+		this.connectionLost = !notSent && !this.cutUnread;
 		if (notSent) {
 			recordNotSent();
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -92,10 +93,23 @@
 	 */
 	Optional<ServerEntry> selectServer(PlacementRequest request, Set<String> excluded) {
 		long now = this.context.scheduler.nowMillis();
-		List<ServerEntry> ranked = rankServers(request, (entry) -> !excluded.contains(entry.registration.id()));
-		return ranked.stream()
-			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
-			.findFirst();
+		return selectPreferred(request, Optional.empty(),
+				(preferred) -> rankServers(request,
+						(entry) -> preferred.test(entry) && !excluded.contains(entry.registration.id()))
+					.stream()
+					.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
+					.findFirst());
+	}
+
+	// Servers to which there is an objection of a preference are used last.
+	private Optional<ServerEntry> selectPreferred(PlacementRequest request, Optional<ServerEntry> source,
+			Function<Predicate<ServerEntry>, Optional<ServerEntry>> selection) {
+		long now = this.context.scheduler.nowMillis();
+		Predicate<ServerEntry> preferred = (entry) -> isAllowed(toUse(request, entry, source), now,
+				ServerGate::isPreference);
+		Optional<ServerEntry> selected = selection.apply(preferred);
+		boolean allPreferred = selected.isPresent() || usableServers(request.service()).allMatch(preferred);
+		return allPreferred ? selected : selection.apply((entry) -> true);
 	}
 
 	/**
@@ -108,10 +122,11 @@
 	Optional<ServerEntry> selectServerForRetry(PlacementRequest request, Set<String> tried) {
 		long now = this.context.scheduler.nowMillis();
 		Comparator<ServerEntry> ejectedLast = Comparator.comparing((entry) -> entry.isEjected(now));
-		return rankServers(request, (entry) -> true).stream()
-			.sorted(ejectedLast.thenComparing((entry) -> tried.contains(entry.registration.id())))
-			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
-			.findFirst();
+		return selectPreferred(request, Optional.empty(),
+				(preferred) -> rankServers(request, preferred).stream()
+					.sorted(ejectedLast.thenComparing((entry) -> tried.contains(entry.registration.id())))
+					.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
+					.findFirst());
 	}
 
 	/**
@@ -137,14 +152,16 @@
 	 */
 	Optional<ServerEntry> selectMigrationTarget(PlacementRequest request, ServerEntry source, Set<String> excluded) {
 		long now = this.context.scheduler.nowMillis();
-		return eligibleServers(request, Optional.of(source),
-				(entry) -> entry != source && !excluded.contains(entry.registration.id()))
-			.filter((entry) -> !entry.isEjected(now))
-			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, now)))
-			.sorted(Comparator.comparingDouble(RankedServer::cost))
-			.map(RankedServer::server)
-			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.of(source)), entry, now))
-			.findFirst();
+		return selectPreferred(request, Optional.of(source),
+				(preferred) -> eligibleServers(request, Optional.of(source),
+						(entry) -> entry != source && preferred.test(entry)
+								&& !excluded.contains(entry.registration.id()))
+					.filter((entry) -> !entry.isEjected(now))
+					.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, now)))
+					.sorted(Comparator.comparingDouble(RankedServer::cost))
+					.map(RankedServer::server)
+					.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.of(source)), entry, now))
+					.findFirst());
 	}
 
 	/**
@@ -182,7 +199,7 @@
 		ServerUse use = toUse(request, entry, Optional.of(source));
 		boolean current = this.serverTable.find(entry.registration.id()).filter((found) -> found == entry).isPresent();
 		return current && entry.acceptsRequests() && !entry.isEjected(now) && entry.backoffMillis(now) == 0
-				&& !isEvacuated(entry.registration.dataCentre()) && isAllowed(use, now)
+				&& !isEvacuated(entry.registration.dataCentre()) && isAllowed(use, now, ServerSelector::isRequired)
 				&& tryAcquirePermits(use, entry, now);
 	}
 
@@ -210,11 +227,15 @@
 		long now = this.context.scheduler.nowMillis();
 		return usableServers(request.service()).filter((entry) -> entry.backoffMillis(now) == 0)
 			.filter(allowed)
-			.filter((entry) -> isAllowed(toUse(request, entry, source), now));
+			.filter((entry) -> isAllowed(toUse(request, entry, source), now, ServerSelector::isRequired));
+	}
+
+	private boolean isAllowed(ServerUse use, long now, Predicate<ServerGate> kind) {
+		return this.gates.stream().filter(kind).allMatch((gate) -> gate.findObjection(use, now).isEmpty());
 	}
 
-	private boolean isAllowed(ServerUse use, long now) {
-		return this.gates.stream().allMatch((gate) -> gate.findObjection(use, now).isEmpty());
+	private static boolean isRequired(ServerGate gate) {
+		return !gate.isPreference();
 	}
 
 	private static ServerUse toUse(PlacementRequest request, ServerEntry entry, Optional<ServerEntry> source) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
@@ -15,6 +15,15 @@
 	 */
 	Optional<String> findObjection(ServerUse use, long nowMillis);
 
+	/**
+	 * Returns whether the condition only prefers some servers to others.
+	 * @return {@code true} if a server to which there is an objection is used all the
+	 * same when no other one can be
+	 */
+	default boolean isPreference() {
+		return false;
+	}
+
 	/**
 	 * Takes a permit for a use to which there is no objection.
 	 * @param use the intended use
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ResponseMemoryTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ResponseMemoryTests.java
@@ -64,4 +64,28 @@
 		assertThat(this.memory.maximumResponseBytes(), is(ResponseMemory.MAXIMUM_RESPONSE_BYTES));
 	}
 
+	@Test
+	void fewSlowCallersMayHoldMoreThanOtherResponses() {
+		assertThat(this.memory.maximumPendingBytes(), greaterThanOrEqualTo(1024 * 1024));
+		this.memory.openShare().set(this.memory.maximumPendingBytes());
+		assertThat(this.memory.maximumResponseBytes(), is(ResponseMemory.MAXIMUM_RESPONSE_BYTES));
+	}
+
+	@Test
+	void manySlowCallersLeaveMemoryToOtherResponses() {
+		for (int number = 0; number < RESPONSES; number++) {
+			this.memory.openShare().set(this.memory.maximumPendingBytes());
+			assertThat(this.memory.maximumPendingBytes(), greaterThanOrEqualTo(this.memory.maximumResponseBytes()));
+		}
+		assertThat(this.memory.heldBytes(), lessThan(MAXIMUM_HELD_BYTES));
+	}
+
+	@Test
+	void slowCallersThatTakeTheirLargerPartsLeaveOthersTheMaximum() {
+		while (this.memory.maximumPendingBytes() > ResponseMemory.MAXIMUM_RESPONSE_BYTES) {
+			this.memory.openShare().set(this.memory.maximumPendingBytes());
+		}
+		assertThat(this.memory.maximumResponseBytes(), is(ResponseMemory.MAXIMUM_RESPONSE_BYTES));
+	}
+
 }
