--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseMemory.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseMemory.java
@@ -14,7 +14,7 @@
 	private static final int PARTS = 128;
 
 	/** Part of half of the free memory that may be held for one slow caller. */
-	private static final int SLOW_CALLER_PARTS = 8;
+	private static final int SLOW_CALLER_PARTS = 16;
 
 	/** Maximum number of bytes of one response while there are few. */
 	static final int MAXIMUM_RESPONSE_BYTES = 64 * 1024;
