--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -22,6 +23,7 @@
 import org.skylarkspring.gateway.placement.PlacementRequest;
 import org.skylarkspring.gateway.placement.ServerGate;
 import org.skylarkspring.gateway.placement.ServerUse;
+import org.skylarkspring.gateway.placement.ServiceConditions;
 import org.skylarkspring.gateway.placement.ServicePaces;
 
 /**
@@ -106,10 +108,23 @@
 	 */
 	Optional<ServerEntry> selectServer(PlacementRequest request, Set<String> excluded) {
 		long now = this.context.scheduler.nowMillis();
-		List<ServerEntry> ranked = rankServers(request, (entry) -> !excluded.contains(entry.registration.id()));
-		return ranked.stream()
-			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
-			.findFirst();
+		return selectPreferred(request, Optional.empty(),
+				(preferred) -> rankServers(request,
+						(entry) -> preferred.test(entry) && !excluded.contains(entry.registration.id()))
+					.stream()
+					.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
+					.findFirst());
+	}
+
+	// Servers to which there is an objection of a preference are used last.
+	private Optional<ServerEntry> selectPreferred(PlacementRequest request, Optional<ServerEntry> source,
+			Function<Predicate<ServerEntry>, Optional<ServerEntry>> selection) {
+		long now = this.context.scheduler.nowMillis();
+		Predicate<ServerEntry> preferred = (entry) -> isAllowed(toUse(request, entry, source), now,
+				ServerGate::isPreference);
+		Optional<ServerEntry> selected = selection.apply(preferred);
+		boolean allPreferred = selected.isPresent() || usableServers(request.service()).allMatch(preferred);
+		return allPreferred ? selected : selection.apply((entry) -> true);
 	}
 
 	/**
@@ -122,10 +137,11 @@
 	Optional<ServerEntry> selectServerForRetry(PlacementRequest request, Set<String> tried) {
 		long now = this.context.scheduler.nowMillis();
 		Comparator<ServerEntry> ejectedLast = Comparator.comparing((entry) -> entry.isEjected(now));
-		return rankServers(request, (entry) -> true).stream()
-			.sorted(ejectedLast.thenComparing((entry) -> tried.contains(entry.registration.id())))
-			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
-			.findFirst();
+		return selectPreferred(request, Optional.empty(),
+				(preferred) -> rankServers(request, preferred).stream()
+					.sorted(ejectedLast.thenComparing((entry) -> tried.contains(entry.registration.id())))
+					.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.empty()), entry, now))
+					.findFirst());
 	}
 
 	/**
@@ -151,16 +167,18 @@
 	 */
 	Optional<ServerEntry> selectMigrationTarget(PlacementRequest request, ServerEntry source, Set<String> excluded) {
 		long now = this.context.scheduler.nowMillis();
-		Optional<ServicePaces> paces = findPaces(request.service(), now);
-		Map<String, Crossing> crossings = paces.isPresent() ? findCrossings(request.service(), now) : Map.of();
-		return eligibleServers(request, Optional.of(source),
-				(entry) -> entry != source && !excluded.contains(entry.registration.id()))
-			.filter((entry) -> !entry.isEjected(now))
-			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, paces, crossings, now)))
-			.sorted(Comparator.comparingDouble(RankedServer::cost))
-			.map(RankedServer::server)
-			.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.of(source)), entry, now))
-			.findFirst();
+		ServiceConditions conditions = findConditions(request.service(), now);
+		return selectPreferred(request, Optional.of(source),
+				(preferred) -> eligibleServers(request, Optional.of(source),
+						(entry) -> entry != source && preferred.test(entry)
+								&& !excluded.contains(entry.registration.id()))
+					.filter((entry) -> !entry.isEjected(now))
+					.map((entry) -> new RankedServer(entry,
+							migrationTargetCost(request, entry, source, conditions, now)))
+					.sorted(Comparator.comparingDouble(RankedServer::cost))
+					.map(RankedServer::server)
+					.filter((entry) -> tryAcquirePermits(toUse(request, entry, Optional.of(source)), entry, now))
+					.findFirst());
 	}
 
 	/**
@@ -172,15 +190,14 @@
 	 */
 	Optional<ServerEntry> selectBackup(PlacementRequest request, ServerEntry source) {
 		long now = this.context.scheduler.nowMillis();
-		Optional<ServicePaces> paces = findPaces(request.service(), now);
-		Map<String, Crossing> crossings = paces.isPresent() ? findCrossings(request.service(), now) : Map.of();
+		ServiceConditions conditions = findConditions(request.service(), now);
 		long capacity = request.service().engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
 		return eligibleServers(request, Optional.of(source), (entry) -> entry != source)
 			.filter((entry) -> !entry.isEjected(now) && now >= entry.coldUntilMillis)
 			.filter((entry) -> !this.rateLimits.isLimited(entry))
 			.filter((entry) -> entry.reservedTokens + entry.peerReservedTokens
 					+ request.reservedTokens() <= MAXIMUM_BACKUP_UTILIZATION * capacity)
-			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, paces, crossings, now)))
+			.map((entry) -> new RankedServer(entry, migrationTargetCost(request, entry, source, conditions, now)))
 			.min(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server);
 	}
@@ -200,28 +217,29 @@
 		ServerUse use = toUse(request, entry, Optional.of(source));
 		boolean current = this.serverTable.find(entry.registration.id()).filter((found) -> found == entry).isPresent();
 		return current && entry.acceptsRequests() && !entry.isEjected(now) && entry.backoffMillis(now) == 0
-				&& !isEvacuated(entry.registration.dataCentre()) && isAllowed(use, now)
+				&& !isEvacuated(entry.registration.dataCentre()) && isAllowed(use, now, ServerSelector::isRequired)
 				&& tryAcquirePermits(use, entry, now);
 	}
 
 	// Many instances select targets at the same moment from the same data; the random
 	// part keeps them from all selecting the same server.
 	private double migrationTargetCost(PlacementRequest request, ServerEntry entry, ServerEntry source,
-			Optional<ServicePaces> paces, Map<String, Crossing> crossings, long now) {
+			ServiceConditions conditions, long now) {
 		boolean crossDataCentre = !entry.registration.dataCentre().equals(source.registration.dataCentre());
-		return this.placementCost.cost(toCandidate(request.service(), entry, crossings, now), request, paces)
-				+ (crossDataCentre ? CROSS_DATA_CENTRE_COST : 0)
+		return this.placementCost.cost(toCandidate(request.service(), entry, conditions, now), request,
+				conditions.paces()) + (crossDataCentre ? CROSS_DATA_CENTRE_COST : 0)
 				+ TARGET_COST_JITTER * ThreadLocalRandom.current().nextDouble();
 	}
 
 	private List<ServerEntry> rankServers(PlacementRequest request, Predicate<ServerEntry> allowed) {
 		long now = this.context.scheduler.nowMillis();
-		Optional<ServicePaces> paces = findPaces(request.service(), now);
-		Map<String, Crossing> crossings = paces.isPresent() ? findCrossings(request.service(), now) : Map.of();
+		ServiceConditions conditions = findConditions(request.service(), now);
 		return eligibleServers(request, Optional.empty(), allowed)
 			.map((entry) -> new RankedServer(entry,
-					this.placementCost.cost(toCandidate(request.service(), entry, crossings, now), request, paces)
-							+ (paces.isPresent() ? NEAR_EQUAL_COST * ThreadLocalRandom.current().nextDouble() : 0)))
+					this.placementCost.cost(toCandidate(request.service(), entry, conditions, now), request,
+							conditions.paces())
+							+ (conditions.paces().isPresent()
+									? NEAR_EQUAL_COST * ThreadLocalRandom.current().nextDouble() : 0)))
 			.sorted(Comparator.comparingDouble(RankedServer::cost))
 			.map(RankedServer::server)
 			.toList();
@@ -262,6 +280,11 @@
 			.toList();
 	}
 
+	private ServiceConditions findConditions(ServiceSpec service, long now) {
+		Optional<ServicePaces> paces = findPaces(service, now);
+		return new ServiceConditions(paces, paces.isPresent() ? findCrossings(service, now) : Map.of());
+	}
+
 	private Optional<ServicePaces> findPaces(ServiceSpec service, long now) {
 		return this.context.serverPaces.ofService(this.serverTable.findByService(service.name())
 			.stream()
@@ -274,11 +297,15 @@
 		long now = this.context.scheduler.nowMillis();
 		return usableServers(request.service()).filter((entry) -> entry.backoffMillis(now) == 0)
 			.filter(allowed)
-			.filter((entry) -> isAllowed(toUse(request, entry, source), now));
+			.filter((entry) -> isAllowed(toUse(request, entry, source), now, ServerSelector::isRequired));
+	}
+
+	private boolean isAllowed(ServerUse use, long now, Predicate<ServerGate> kind) {
+		return this.gates.stream().filter(kind).allMatch((gate) -> gate.findObjection(use, now).isEmpty());
 	}
 
-	private boolean isAllowed(ServerUse use, long now) {
-		return this.gates.stream().allMatch((gate) -> gate.findObjection(use, now).isEmpty());
+	private static boolean isRequired(ServerGate gate) {
+		return !gate.isPreference();
 	}
 
 	private static ServerUse toUse(PlacementRequest request, ServerEntry entry, Optional<ServerEntry> source) {
@@ -309,7 +336,7 @@
 				Math.max(MINIMUM_SHARING_INSTANCES, sharingInstances));
 	}
 
-	private PlacementCandidate toCandidate(ServiceSpec service, ServerEntry entry, Map<String, Crossing> crossings,
+	private PlacementCandidate toCandidate(ServiceSpec service, ServerEntry entry, ServiceConditions conditions,
 			long now) {
 		long memory = service.engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
 		return new PlacementCandidate(entry.registration.id(),
@@ -318,7 +345,7 @@
 				entry.reservedTokens + entry.peerReservedTokens,
 				entry.pendingPrefillTokens + entry.peerPendingPrefillTokens, memory, entry.failureRate(now),
 				entry.isEjected(now), this.reachability.isUnreachable(entry.registration.dataCentre(), now),
-				Optional.ofNullable(crossings.get(entry.registration.dataCentre())));
+				Optional.ofNullable(conditions.crossings().get(entry.registration.dataCentre())));
 	}
 
 	private record RankedServer(ServerEntry server, double cost) {
