--- a/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
@@ -1,6 +1,9 @@
 package org.skylarkspring.gateway;
 
 import java.util.Objects;
+import java.util.Optional;
+
+import org.skylarkspring.gateway.rollout.RolloutBounds;
 
 /**
  * Settings of a gateway process. <pre class="code">
@@ -26,10 +29,12 @@
  * @param coldBurstAllowance requests that a cold server accepts in any second in addition
  * to 1.5 times its rate
  * @param cores processor cores the instance may use
+ * @param rollout limits of rollouts, empty if there are none and nothing follows them
  */
 public record GatewaySettings(String instanceId, String dataCentre, String callerAddress, String readinessAddress,
 		String metricsAddress, String peerAddress, long revocationMillis, long shutdownGraceMillis, double retryRatio,
-		double fixedRetriesPerWindow, long retryWindowMillis, double coldBurstAllowance, double cores) {
+		double fixedRetriesPerWindow, long retryWindowMillis, double coldBurstAllowance, double cores,
+		Optional<RolloutBounds> rollout) {
 
 	/**
 	 * Creates a builder with default values.
@@ -72,6 +77,8 @@
 
 		private double cores = 1;
 
+		private Optional<RolloutBounds> rollout = Optional.empty();
+
 		private Builder(String instanceId, String dataCentre) {
 			this.instanceId = Objects.requireNonNull(instanceId, "instanceId");
 			this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
@@ -174,6 +181,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the limits of rollouts, which are followed only then.
+		 * @param bounds the limits
+		 * @return this builder
+		 */
+		public Builder rollout(Optional<RolloutBounds> bounds) {
+			this.rollout = bounds;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
@@ -182,7 +199,7 @@
 			return new GatewaySettings(this.instanceId, this.dataCentre, this.callerAddress, this.readinessAddress,
 					this.metricsAddress, this.peerAddress, this.revocationMillis, this.shutdownGraceMillis,
 					this.retryRatio, this.fixedRetriesPerWindow, this.retryWindowMillis, this.coldBurstAllowance,
-					this.cores);
+					this.cores, this.rollout);
 		}
 
 		private static long requirePositive(String name, long value) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -49,6 +49,9 @@
 	private Consumer<ActiveRequest> endListener = (request) -> {
 	};
 
+	private AttemptListener attemptListener = (attempt, failed) -> {
+	};
+
 	private Consumer<ServerAttempt> cancelListener = (attempt) -> {
 	};
 
@@ -75,6 +78,18 @@
 		this.cancelListener = listener;
 	}
 
+	/**
+	 * Sets the listener that is told how attempts end.
+	 * @param listener the listener
+	 */
+	void setAttemptListener(AttemptListener listener) {
+		this.attemptListener = listener;
+	}
+
+	AttemptListener attemptListener() {
+		return this.attemptListener;
+	}
+
 	Set<ActiveRequest> requests() {
 		return this.requests;
 	}
@@ -179,6 +194,9 @@
 		if (request.finished) {
 			return;
 		}
+		if (request.attempt != null && request.attempt.sent) {
+			this.attemptListener.onAttemptEnded(request.attempt, true);
+		}
 		cancelAfterDueTasks(request.successor);
 		cancelAfterDueTasks(request.attempt);
 		if (request.isCommitted()) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -76,6 +76,7 @@
 		ActiveRequest request = attempt.activeRequest;
 		this.activeRequests.detachAttempt(attempt);
 		int status = attempt.response().getResponseCode();
+		this.activeRequests.attemptListener().onAttemptEnded(attempt, status >= LOWEST_SERVER_ERROR_STATUS);
 		if (status >= LOWEST_SERVER_ERROR_STATUS) {
 			attempt.server.recordServerError(this.context.scheduler.nowMillis());
 			if (!request.isCommitted() && tryAcquireRetry(request)) {
@@ -145,6 +146,9 @@
 		if (!attempt.isWithdrawn()) {
 			attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
 		}
+		if (deliveryStatus != DeliveryStatus.NOT_SENT) {
+			this.activeRequests.attemptListener().onAttemptEnded(attempt, true);
+		}
 		if (request.finished) {
 			return;
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
@@ -88,6 +88,18 @@
 		.help("Keys of requests that are not sent to servers because servers crashed on them")
 		.register(this.registry);
 
+	private final Gauge rolloutStage = Gauge.builder()
+		.name("gateway_rollout_stage")
+		.help("Stage of a rollout: 0 testing, 1 promoting, 2 completed, 3 rolled back")
+		.labelNames("service", "target")
+		.register(this.registry);
+
+	private final Gauge rolloutSent = Gauge.builder()
+		.name("gateway_rollout_sent")
+		.help("Requests that this instance has sent to the new version during a rollout")
+		.labelNames("service", "target")
+		.register(this.registry);
+
 	private final Gauge configurationAgeSeconds = Gauge.builder()
 		.name("gateway_configuration_age_seconds")
 		.help("Time since the store last confirmed the configuration, negative if it is unknown")
@@ -98,6 +110,24 @@
 		this.configurationAgeSeconds.set(configurationAgeMillis / MILLIS_PER_SECOND);
 	}
 
+	/**
+	 * Shows the state of a rollout.
+	 * @param service the service
+	 * @param target the new version
+	 * @param stage number of the stage
+	 * @param sent requests that this instance has sent to the new version
+	 */
+	void setRollout(String service, String target, int stage, long sent) {
+		this.rolloutStage.labelValues(service, target).set(stage);
+		this.rolloutSent.labelValues(service, target).set(sent);
+	}
+
+	/** Removes the rollouts, which are then shown again one by one. */
+	void clearRollouts() {
+		this.rolloutStage.clear();
+		this.rolloutSent.clear();
+	}
+
 	void setLimitedServers(long count) {
 		this.limitedServers.set(count);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Stream;
 
@@ -47,6 +48,8 @@
 
 	private static final long PROMPT_CRASH_WATCH_TIMEOUT_MILLIS = 8_000;
 
+	private static final int ROLLOUT_WATCHES_PER_TOUCH = 4;
+
 	private static final long TICK_INTERVAL_MILLIS = 100;
 
 	private static final int OK = 200;
@@ -93,6 +96,9 @@
 
 	private final InstanceRegistry instanceRegistry;
 
+	/** Empty on deployments without rollouts, where nothing reads or watches them. */
+	private final Optional<RolloutCoordinator> rollouts;
+
 	private final CallerConnectionTracker connections = new CallerConnectionTracker();
 
 	private final CallerBodies bodies;
@@ -158,6 +164,17 @@
 		this.instanceRegistry = new InstanceRegistry(this.context, this.store, this.peers);
 		this.dispatcher.setPeerLoadCallbacks(this.peerLoadSynchronizer::refreshLoadsThen,
 				this.peerLoadSynchronizer::scheduleReport);
+		this.rollouts = settings.rollout()
+			.map((bounds) -> new RolloutCoordinator(this.context, this.store, decoder, this.peers, this.servers, bounds,
+					this::migrateFromServer, this.peerLoadSynchronizer::scheduleReport));
+		this.rollouts.ifPresent(this::connectRollouts);
+	}
+
+	private void connectRollouts(RolloutCoordinator coordinator) {
+		this.serverSelector.addGate(coordinator.gate());
+		this.peerLoadSynchronizer.addParticipant(coordinator);
+		this.dispatcher.setArrivalListener(coordinator::recordRequest);
+		this.activeRequests.setAttemptListener(coordinator::recordOutcome);
 	}
 
 	/** Starts the listeners and the background tasks. */
@@ -176,10 +193,7 @@
 		addListener(builder, this.context.settings.peerAddress(),
 				Handlers.path(this.peerLoadSynchronizer::handleRequest)
 					.addExactPath(StoreRelayHandler.PATH, this.storeRelay::handleRequest));
-		addListener(builder, this.context.settings.metricsAddress(), (exchange) -> {
-			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
-			exchange.getResponseSender().send(java.nio.ByteBuffer.wrap(this.context.metrics.toPrometheusText()));
-		});
+		addListener(builder, this.context.settings.metricsAddress(), metricsHandler());
 		this.httpServer = builder.build();
 		this.httpServer.start();
 		this.callerListener = CallerListener.open(this.worker, this.context.buffers,
@@ -192,6 +206,18 @@
 		this.context.ioThread.execute(this::startBackgroundTasks);
 	}
 
+	private HttpHandler metricsHandler() {
+		HttpHandler metrics = (exchange) -> {
+			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
+			exchange.getResponseSender().send(java.nio.ByteBuffer.wrap(this.context.metrics.toPrometheusText()));
+		};
+		return this.rollouts
+			.<HttpHandler>map((coordinator) -> Handlers.path(metrics)
+				.addExactPath(RolloutPage.PATH,
+						new RolloutPage(coordinator.table(), this.context.scheduler)::handleRequest))
+			.orElse(metrics);
+	}
+
 	/**
 	 * Starts a graceful shutdown: deregisters the instance, reports it as not ready,
 	 * waits until all responses are written or the grace period is almost over, ends the
@@ -250,6 +276,9 @@
 		startWatch(ObjectKind.EVACUATIONS, EVACUATION_WATCH_TIMEOUT_MILLIS,
 				new EvacuationListener(this.context.scheduler, this.context.log, this.serverSelector));
 		startWatch(ObjectKind.PROMPT_CRASHES, PROMPT_CRASH_WATCH_TIMEOUT_MILLIS, this.crashQuarantine.storeListener());
+		// The age of an entry read through a relay is up to three of these times.
+		this.rollouts.ifPresent((coordinator) -> startWatch(ObjectKind.ROLLOUTS,
+				this.context.settings.rollout().orElseThrow().touchMillis() / ROLLOUT_WATCHES_PER_TOUCH, coordinator));
 	}
 
 	private void startWatch(ObjectKind kind, long watchTimeoutMillis, ObjectInformer.Listener listener) {
@@ -267,6 +296,7 @@
 		this.dispatcher.streamRelay().logStalledStreams();
 		this.callerTimeouts.tick(now);
 		this.crashQuarantine.tick();
+		this.rollouts.ifPresent(RolloutCoordinator::tick);
 		this.context.metrics.recordState(this.servers.all().stream().filter(ServerEntry::acceptsRequests).count(),
 				this.configuration.ageMillis());
 		this.context.metrics
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ObjectInformer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ObjectInformer.java
@@ -47,6 +47,8 @@
 
 	private long failingSinceMillis = -1;
 
+	private long callStartedMillis;
+
 	private StoreRevision revision = StoreRevision.NONE;
 
 	ObjectInformer(ObjectStore store, Scheduler scheduler, DecisionLog log, ObjectKind kind, long watchTimeoutMillis,
@@ -61,6 +63,7 @@
 
 	/** Starts listing and watching, which continue until the process exits. */
 	void start() {
+		this.callStartedMillis = this.scheduler.nowMillis();
 		listPage("", new ArrayList<>(), StoreRevision.NONE);
 	}
 
@@ -77,7 +80,7 @@
 					listPage(page.objects().get(page.objects().size() - 1).name(), collected, watchRevision);
 				}
 				else {
-					completeList(collected, watchRevision);
+					completeList(collected, watchRevision, page.ageMillis());
 				}
 			}
 			else {
@@ -86,7 +89,7 @@
 		}));
 	}
 
-	private void completeList(List<StoredObject> all, StoreRevision watchRevision) {
+	private void completeList(List<StoredObject> all, StoreRevision watchRevision, long ageMillis) {
 		boolean newEra = !this.revision.equals(StoreRevision.NONE) && watchRevision.era() > this.revision.era();
 		boolean afterOutage = newEra || (this.failingSinceMillis >= 0
 				&& this.scheduler.nowMillis() - this.failingSinceMillis >= OUTAGE_THRESHOLD_MILLIS);
@@ -102,14 +105,24 @@
 		}
 		applySafely(() -> this.listener.onEra(watchRevision.era()));
 		applySafely(() -> this.listener.onListed(List.copyOf(all), afterOutage));
+		confirm(ageMillis);
 		watch();
 	}
 
+	// The store had no later objects when the call began, however long its result took.
+	private void confirm(long ageMillis) {
+		if (this.listener.wantsConfirmations()) {
+			this.listener.onConfirmed(this.callStartedMillis - ageMillis);
+		}
+	}
+
 	private void watch() {
+		this.callStartedMillis = this.scheduler.nowMillis();
 		this.store.watch(this.kind, this.revision, this.watchTimeoutMillis, listingAgainAfterException((result) -> {
 			if (result instanceof StoreResult.Changed changed) {
 				this.revision = this.revision.isBefore(changed.revision()) ? changed.revision() : this.revision;
 				changed.changes().forEach((change) -> applySafely(() -> this.listener.onChanged(change)));
+				confirm(changed.ageMillis());
 				continueWatch(changed);
 			}
 			else if (result instanceof StoreResult.HistoryGone) {
@@ -199,6 +212,21 @@
 		default void onEra(long era) {
 		}
 
+		/**
+		 * Returns whether {@link #onConfirmed} is to be called.
+		 * @return {@code true} if the age of the objects matters to this listener
+		 */
+		default boolean wantsConfirmations() {
+			return false;
+		}
+
+		/**
+		 * Called after objects were applied.
+		 * @param atMillis time at which the store had no later ones, in milliseconds
+		 */
+		default void onConfirmed(long atMillis) {
+		}
+
 		/**
 		 * Called when the store becomes unreachable. {@link #onListed} follows once it is
 		 * reachable again.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerTable.java
@@ -258,6 +258,20 @@
 		return selected ? maximumSharers : 0;
 	}
 
+	/**
+	 * Returns how many instances precede this one in an order that all instances with the
+	 * same members agree on.
+	 * @param key what the order is for
+	 * @return the rank, 0 for the first instance
+	 */
+	int rank(String key) {
+		long own = RendezvousHash.score(key, this.self.instanceId());
+		return (int) this.peers.keySet()
+			.stream()
+			.filter((instance) -> RendezvousHash.score(key, instance) < own)
+			.count();
+	}
+
 	/**
 	 * Replaces the peer loads in the server table with the sums of the unexpired reports.
 	 * @param servers server table to update
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedObjectStore.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedObjectStore.java
@@ -196,7 +196,8 @@
 		if (response.outcome() == RelayResponse.Outcome.LISTED) {
 			this.fallbackLimiter.reset(kind);
 			this.listSources.put(kind, new ListSource(relay, response.source()));
-			result.accept(new StoreResult.Listed(response.storedObjects(), response.storeRevision(0), false));
+			result.accept(new StoreResult.Listed(response.storedObjects(), response.storeRevision(0), false,
+					response.ageMillis() - response.heldMillis()));
 		}
 		else if (this.fallbackLimiter.tryAcquire(kind)) {
 			logFallback(relay, kind, response);
@@ -236,7 +237,8 @@
 			return new StoreResult.HistoryGone();
 		}
 		if (response.get().outcome() == RelayResponse.Outcome.CHANGED) {
-			return new StoreResult.Changed(response.get().objectChanges(), response.get().storeRevision(0));
+			return new StoreResult.Changed(response.get().objectChanges(), response.get().storeRevision(0),
+					response.get().ageMillis() - response.get().heldMillis());
 		}
 		return new StoreResult.HistoryGone();
 	}
@@ -246,6 +248,12 @@
 		this.directStore.write(kind, name, content, result);
 	}
 
+	@Override
+	public void writeStatus(ObjectKind kind, String name, StoreRevision revision, String content,
+			Consumer<StoreResult> result) {
+		this.directStore.writeStatus(kind, name, revision, content, result);
+	}
+
 	@Override
 	public void remove(ObjectKind kind, String name, Consumer<StoreResult> result) {
 		this.directStore.remove(kind, name, result);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -44,6 +44,9 @@
 
 	private GenerationMigrator migrator;
 
+	private Consumer<ActiveRequest> arrivalListener = (request) -> {
+	};
+
 	private Consumer<Runnable> peerLoadRefresher = Runnable::run;
 
 	RequestDispatcher(GatewayContext context, ConfigurationPoller configuration, ServerSelector serverSelector,
@@ -68,6 +71,14 @@
 		this.outcomes.setMigrator(migrator);
 	}
 
+	/**
+	 * Sets the listener that is told of each request before it is sent to a server.
+	 * @param listener the listener
+	 */
+	void setArrivalListener(Consumer<ActiveRequest> listener) {
+		this.arrivalListener = listener;
+	}
+
 	ResponseMemory responseMemory() {
 		return this.activeRequests.responseMemory();
 	}
@@ -127,6 +138,7 @@
 		request.disconnectDetector = CallerDisconnectDetector.start(request.exchange,
 				() -> this.activeRequests.onCallerDisconnected(request));
 		this.retryBudgets.recordRequest(request.service.name());
+		this.arrivalListener.accept(request);
 		if (request.reservedTokens > 0) {
 			this.peerLoadRefresher.accept(() -> dispatchUnlessFinished(request));
 		}
@@ -298,13 +310,15 @@
 				|| this.serverSelector.isEvacuated(attempt.server.registration.dataCentre()))) {
 			return false;
 		}
-		return true;
+		return attempt.dispatchHead.resumePoint().isPresent() || this.serverSelector
+			.isStillAllowed(request.toPlacementRequest(this.context.scheduler.nowMillis()), attempt.server);
 	}
 
 	private void onResponseTimeout(ServerAttempt attempt) {
 		ActiveRequest request = attempt.activeRequest;
 		boolean awaitingResponse = attempt.activeRequest.attempt == attempt && !request.isCommitted();
 		if (awaitingResponse && this.retryBudgets.tryAcquireRetry(request.service.name())) {
+			this.activeRequests.attemptListener().onAttemptEnded(attempt, true);
 			this.activeRequests.cancelAttempt(attempt);
 			attempt.server.recordResponseTimeout(this.context.scheduler.nowMillis());
 			this.activeRequests.logAttemptDecision(request, "response timeout, retrying on another server", attempt,
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -186,6 +186,17 @@
 				&& tryAcquirePermits(use, entry, now);
 	}
 
+	/**
+	 * Returns whether a server that was selected for a request may still be used for it.
+	 * @param request the request
+	 * @param entry the server
+	 * @return {@code false} if a condition is no longer met
+	 */
+	boolean isStillAllowed(PlacementRequest request, ServerEntry entry) {
+		return this.gates.isEmpty()
+				|| isAllowed(toUse(request, entry, Optional.empty()), this.context.scheduler.nowMillis());
+	}
+
 	// Many instances select targets at the same moment from the same data; the random
 	// part keeps them from all selecting the same server.
 	private double migrationTargetCost(PlacementRequest request, ServerEntry entry, ServerEntry source, long now) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelayHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StoreRelayHandler.java
@@ -161,7 +161,7 @@
 						.stream()
 						.map((change) -> RelayResponse.RelayedObject.of(change.object(), change.deleted()))
 						.toList(),
-					changed.revision().number(), heldMillis, 0, changed.revision().era());
+					changed.revision().number(), heldMillis, changed.ageMillis(), changed.revision().era());
 		}
 		RelayResponse.Outcome outcome = (result instanceof StoreResult.HistoryGone) ? RelayResponse.Outcome.HISTORY_GONE
 				: RelayResponse.Outcome.UNAVAILABLE;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
@@ -72,6 +72,7 @@
 	void completeStream(ServerAttempt attempt, byte[] trailingBytes) {
 		ActiveRequest request = attempt.activeRequest;
 		this.activeRequests.detachAttempt(attempt);
+		this.activeRequests.attemptListener().onAttemptEnded(attempt, false);
 		attempt.server.recordSuccess(this.context.scheduler.nowMillis());
 		this.crashQuarantine.recordPromptSuccess(request);
 		this.crashQuarantine.recordRequestSuccess(request);
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/WatchCache.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/WatchCache.java
@@ -57,6 +57,11 @@
 
 	private long revision;
 
+	/**
+	 * When the store confirmed the objects, the lowest value if that is not followed.
+	 */
+	private long confirmedMillis = Long.MIN_VALUE;
+
 	/** Era of the store in which the objects were listed. */
 	private long era;
 
@@ -94,6 +99,17 @@
 				next.onChanged(change);
 			}
 
+			@Override
+			public boolean wantsConfirmations() {
+				return next.wantsConfirmations();
+			}
+
+			@Override
+			public void onConfirmed(long atMillis) {
+				WatchCache.this.confirmedMillis = atMillis;
+				next.onConfirmed(atMillis);
+			}
+
 			@Override
 			public void onStoreUnreachable() {
 				WatchCache.this.startGrace();
@@ -195,7 +211,7 @@
 	}
 
 	private StoreResult listed() {
-		return new StoreResult.Listed(List.copyOf(this.objects.values()), storeRevision(), false);
+		return new StoreResult.Listed(List.copyOf(this.objects.values()), storeRevision(), false, ageMillis());
 	}
 
 	/**
@@ -231,7 +247,12 @@
 			return new StoreResult.HistoryGone();
 		}
 		return new StoreResult.Changed(
-				this.retainedChanges.stream().skip(this.retainedChanges.size() - missed).toList(), storeRevision());
+				this.retainedChanges.stream().skip(this.retainedChanges.size() - missed).toList(), storeRevision(),
+				ageMillis());
+	}
+
+	private long ageMillis() {
+		return (this.confirmedMillis == Long.MIN_VALUE) ? 0 : this.scheduler.nowMillis() - this.confirmedMillis;
 	}
 
 	private StoreRevision storeRevision() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/ObjectKind.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/ObjectKind.java
@@ -18,6 +18,9 @@
 	INSTANCES,
 
 	/** Reports of instances that a server crashed on a prompt. */
-	PROMPT_CRASHES
+	PROMPT_CRASHES,
+
+	/** Orders to shift the traffic of a service to servers of another version. */
+	ROLLOUTS
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/StoreResult.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/StoreResult.java
@@ -47,8 +47,20 @@
 	 *
 	 * @param changes the changes since the watched revision, oldest first
 	 * @param revision revision from which to continue watching
+	 * @param ageMillis time from the store's confirmation of the objects to the start of
+	 * the call, in milliseconds; negative if the store confirmed them while the call was
+	 * waiting
 	 */
-	record Changed(List<ObjectChange> changes, StoreRevision revision) implements StoreResult {
+	record Changed(List<ObjectChange> changes, StoreRevision revision, long ageMillis) implements StoreResult {
+
+		/**
+		 * Creates the result of a call to the store itself.
+		 * @param changes the changes since the watched revision, oldest first
+		 * @param revision revision from which to continue watching
+		 */
+		public Changed(List<ObjectChange> changes, StoreRevision revision) {
+			this(changes, revision, 0);
+		}
 
 		/**
 		 * Creates the result of a source that names no era.
--- a/gateway/src/main/java/org/skylarkspring/gateway/port/ObjectStore.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/port/ObjectStore.java
@@ -47,6 +47,18 @@
 	 */
 	void write(ObjectKind kind, String name, String content, Consumer<StoreResult> result);
 
+	/**
+	 * Replaces the status of an object if the object has not changed.
+	 * @param kind kind of the object
+	 * @param name name of the object
+	 * @param revision revision that the object must have
+	 * @param content the status as JSON text
+	 * @param result receives {@code Written}, {@code Conflict} if the object has another
+	 * revision, {@code Missing} or {@code Failed}
+	 */
+	void writeStatus(ObjectKind kind, String name, StoreRevision revision, String content,
+			Consumer<StoreResult> result);
+
 	/**
 	 * Removes an object.
 	 * @param kind kind of the object
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/FakeObjectStore.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/FakeObjectStore.java
@@ -36,6 +36,12 @@
 		this.pendingCalls.add(new PendingCall("write", kind, name, result));
 	}
 
+	@Override
+	public void writeStatus(ObjectKind kind, String name, StoreRevision revision, String content,
+			Consumer<StoreResult> result) {
+		this.pendingCalls.add(new PendingCall("writeStatus", kind, name, result));
+	}
+
 	@Override
 	public void remove(ObjectKind kind, String name, Consumer<StoreResult> result) {
 		this.pendingCalls.add(new PendingCall("remove", kind, name, result));
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/rollout/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions about rollouts.
+ */
+package org.skylarkspring.gateway.rollout;
