--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -211,11 +211,18 @@
 		return eligibleServers(request, Optional.empty(), allowed)
 			.map((entry) -> new RankedServer(entry,
 					this.placementCost.cost(toCandidate(request.service(), entry, now), request.reservedTokens())))
-			.sorted(Comparator.comparingDouble(RankedServer::cost))
+			.sorted(Comparator.comparing((RankedServer ranked) -> !isPreferred(request, ranked.server(), now))
+				.thenComparingDouble(RankedServer::cost))
 			.map(RankedServer::server)
 			.toList();
 	}
 
+	private boolean isPreferred(PlacementRequest request, ServerEntry entry, long now) {
+		return !this.gates.isEmpty() && !entry.isEjected(now)
+				&& entry.attempts.size() + entry.peerRunningRequests < entry.registration.slots() && this.gates.stream()
+					.anyMatch((gate) -> gate.isPreferred(toUse(request, entry, Optional.empty()), now));
+	}
+
 	private Stream<ServerEntry> eligibleServers(PlacementRequest request, Optional<ServerEntry> source,
 			Predicate<ServerEntry> allowed) {
 		long now = this.context.scheduler.nowMillis();
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
@@ -15,6 +15,17 @@
 	 */
 	Optional<String> findObjection(ServerUse use, long nowMillis);
 
+	/**
+	 * Returns whether a server that has room is to be used before others, whatever their
+	 * load. Takes no permit.
+	 * @param use the intended use
+	 * @param nowMillis current time in milliseconds
+	 * @return {@code false} if only its cost counts
+	 */
+	default boolean isPreferred(ServerUse use, long nowMillis) {
+		return false;
+	}
+
 	/**
 	 * Takes a permit for a use to which there is no objection.
 	 * @param use the intended use
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutGate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutGate.java
@@ -73,9 +73,6 @@
 		if (promoted && use.source().isPresent()) {
 			return Optional.of("generations move to the new version");
 		}
-		if (promoted && state.budget().hasRoom(PROMOTION_FRACTION) && !this.table.targetServers(state).isEmpty()) {
-			return Optional.of("requests go to the new version");
-		}
 		return findObjectionToVersion(use.server());
 	}
 
@@ -85,6 +82,14 @@
 			.map((version) -> "no rollout names the version, and the established one is " + version);
 	}
 
+	@Override
+	public boolean isPreferred(ServerUse use, long nowMillis) {
+		return this.table.find(use.server().service())
+			.filter((state) -> !state.stage().isFinal() && state.isTarget(use.server().version()))
+			.filter((state) -> hasRoom(state, nowMillis))
+			.isPresent();
+	}
+
 	@Override
 	public boolean tryAcquire(ServerUse use, long nowMillis) {
 		Optional<RolloutState> state = this.table.find(use.server().service())
@@ -93,17 +98,21 @@
 	}
 
 	private static boolean tryAcquire(RolloutState state, long nowMillis) {
-		boolean room = switch (state.stage()) {
+		boolean room = hasRoom(state, nowMillis);
+		if (room) {
+			state.budget().recordSent();
+		}
+		return room;
+	}
+
+	private static boolean hasRoom(RolloutState state, long nowMillis) {
+		return switch (state.stage()) {
 			case COMPLETED -> true;
 			case ROLLED_BACK -> false;
 			case PROMOTING -> state.budget().hasRoom(PROMOTION_FRACTION);
 			case TESTING ->
 				state.budget().hasRoomInTest(RolloutSchedule.TEST_FRACTION, state.schedule().elapsedPart(nowMillis));
 		};
-		if (room) {
-			state.budget().recordSent();
-		}
-		return room;
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutTable.java
@@ -218,7 +218,10 @@
 	 * @return {@code false} if it gets nothing during the test
 	 */
 	boolean isTestServer(RolloutState state, ServerRegistration server) {
-		List<ServerRegistration> candidates = targetServers(state);
+		List<ServerRegistration> candidates = this.usableServers.apply(state.rollout().service())
+			.stream()
+			.filter((candidate) -> state.isTarget(candidate.version()))
+			.toList();
 		long count = Math.max(1,
 				(long) (candidates.size() * RolloutSchedule.TEST_FRACTION * this.bounds.exposureShare()));
 		return candidates.stream()
@@ -228,16 +231,4 @@
 			.anyMatch((candidate) -> candidate.id().equals(server.id()));
 	}
 
-	/**
-	 * Returns the servers of the new version that accept requests.
-	 * @param state the order
-	 * @return the servers
-	 */
-	List<ServerRegistration> targetServers(RolloutState state) {
-		return this.usableServers.apply(state.rollout().service())
-			.stream()
-			.filter((server) -> state.isTarget(server.version()))
-			.toList();
-	}
-
 }
