--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RolloutCoordinator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RolloutCoordinator.java
@@ -281,7 +281,7 @@
 			this.context.metrics.setRollout(state.rollout().service(), state.rollout().target(),
 					state.stage().ordinal(), state.budget().sent());
 			state.findOwnFault().ifPresent((reason) -> stopLocally(state, reason));
-			if (migrationDue) {
+			if (migrationDue && state.stage() == RolloutStage.PROMOTING) {
 				migrate(state);
 			}
 			propose(state, now);
