Rollouts: delays below 25 ms are no slowness

RolloutClusterTests$goodVersionIsCompletedAndThenUsedAlone failed in one run of two on a busy machine: the usual time was 3 ms, and 13% of the responses of the new version, 11% of the old one, took more than 2.5 times as long; the promotion was rolled back.

--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutEvidence.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutEvidence.java
@@ -31,6 +31,12 @@
 	 */
 	private static final double SLOW_FACTOR = 2.5;
 
+	/**
+	 * Least delay of a slow response. Shorter ones are usual on busy machines, whatever
+	 * the version. A mean interval of many events varies less and needs no such limit.
+	 */
+	private static final double MINIMUM_DELAY_MILLIS = 25;
+
 	/** Number of responses on old servers from which the usual time is known. */
 	private static final int MINIMUM_TIMED_RESPONSES = 5;
 
@@ -80,7 +86,7 @@
 	private boolean isSlow(String route, List<Double> times) {
 		boolean slow = false;
 		for (int index = 0; index < times.size(); index++) {
-			slow |= usualTime(route, index).isExceededBy(times.get(index));
+			slow |= usualTime(route, index).isExceededBy(times.get(index), (index == 0) ? MINIMUM_DELAY_MILLIS : 0);
 		}
 		return slow;
 	}
@@ -208,9 +214,10 @@
 			this.logarithm += Math.max(1.0 / this.count, USUAL_TIME_WEIGHT) * (value - this.logarithm);
 		}
 
-		boolean isExceededBy(double millis) {
-			return this.count >= MINIMUM_TIMED_RESPONSES
-					&& Math.log(Math.max(1, millis)) > this.logarithm + Math.log(SLOW_FACTOR);
+		boolean isExceededBy(double millis, double minimumDelayMillis) {
+			double usualMillis = Math.exp(this.logarithm);
+			return this.count >= MINIMUM_TIMED_RESPONSES && millis > SLOW_FACTOR * usualMillis
+					&& millis - usualMillis > minimumDelayMillis;
 		}
 
 	}
--- a/gateway/src/test/java/org/skylarkspring/gateway/rollout/RolloutEvidenceTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/rollout/RolloutEvidenceTests.java
@@ -41,6 +41,15 @@
 		assertThat(this.evidence.samples().get(1).newVersion().slow(), is(2L));
 	}
 
+	@Test
+	void delaysOfBusyMachinesAreNotSlowness() {
+		for (int number = 0; number < 10; number++) {
+			this.evidence.record("r", false, false, List.of(3.0), NOW);
+		}
+		assertThat(this.evidence.record("r", true, false, List.of(20.0), NOW), is(false));
+		assertThat(this.evidence.record("r", true, false, List.of(40.0), NOW), is(true));
+	}
+
 	@Test
 	void slownessOfTheNewVersionDoesNotBecomeUsual() {
 		for (int number = 0; number < 100; number++) {
