--- a/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
@@ -1,6 +1,9 @@
 package org.skylarkspring.gateway;
 
 import java.util.Objects;
+import java.util.Optional;
+
+import org.skylarkspring.gateway.rollout.RolloutBounds;
 
 /**
  * Settings of a gateway process. <pre class="code">
@@ -27,11 +30,12 @@
  * to 1.5 times its rate
  * @param cores processor cores the instance may use
  * @param memoryBytes memory above which the process is killed, 0 if unknown
+ * @param rollout limits of rollouts, empty if there are none and nothing follows them
  */
 public record GatewaySettings(String instanceId, String dataCentre, String callerAddress, String readinessAddress,
 		String metricsAddress, String peerAddress, long revocationMillis, long shutdownGraceMillis, double retryRatio,
-		double fixedRetriesPerWindow, long retryWindowMillis, double coldBurstAllowance, double cores,
-		long memoryBytes) {
+		double fixedRetriesPerWindow, long retryWindowMillis, double coldBurstAllowance, double cores, long memoryBytes,
+		Optional<RolloutBounds> rollout) {
 
 	/**
 	 * Creates a builder with default values.
@@ -76,6 +80,8 @@
 
 		private long memoryBytes;
 
+		private Optional<RolloutBounds> rollout = Optional.empty();
+
 		private Builder(String instanceId, String dataCentre) {
 			this.instanceId = Objects.requireNonNull(instanceId, "instanceId");
 			this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
@@ -188,6 +194,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the limits of rollouts, which are followed only then.
+		 * @param bounds the limits
+		 * @return this builder
+		 */
+		public Builder rollout(Optional<RolloutBounds> bounds) {
+			this.rollout = bounds;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
@@ -196,7 +212,7 @@
 			return new GatewaySettings(this.instanceId, this.dataCentre, this.callerAddress, this.readinessAddress,
 					this.metricsAddress, this.peerAddress, this.revocationMillis, this.shutdownGraceMillis,
 					this.retryRatio, this.fixedRetriesPerWindow, this.retryWindowMillis, this.coldBurstAllowance,
-					this.cores, this.memoryBytes);
+					this.cores, this.memoryBytes, this.rollout);
 		}
 
 		private static long requirePositive(String name, long value) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -121,7 +121,7 @@
 			Function<Predicate<ServerEntry>, Optional<ServerEntry>> selection) {
 		long now = this.context.scheduler.nowMillis();
 		Predicate<ServerEntry> preferred = (entry) -> isAllowed(toUse(request, entry, source), now,
-				ServerGate::isPreference);
+				ServerGate::isAdvisory);
 		Optional<ServerEntry> selected = selection.apply(preferred);
 		boolean allPreferred = selected.isPresent() || usableServers(request.service()).allMatch(preferred);
 		return allPreferred ? selected : selection.apply((entry) -> true);
@@ -221,6 +221,17 @@
 				&& tryAcquirePermits(use, entry, now);
 	}
 
+	/**
+	 * Returns whether a server that was selected for a request may still be used for it.
+	 * @param request the request
+	 * @param entry the server
+	 * @return {@code false} if a condition is no longer met
+	 */
+	boolean isStillAllowed(PlacementRequest request, ServerEntry entry) {
+		return this.gates.isEmpty() || isAllowed(toUse(request, entry, Optional.empty()),
+				this.context.scheduler.nowMillis(), ServerSelector::isRequired);
+	}
+
 	// Many instances select targets at the same moment from the same data; the random
 	// part keeps them from all selecting the same server.
 	private double migrationTargetCost(PlacementRequest request, ServerEntry entry, ServerEntry source,
@@ -240,7 +251,8 @@
 							conditions.paces())
 							+ (conditions.paces().isPresent()
 									? NEAR_EQUAL_COST * ThreadLocalRandom.current().nextDouble() : 0)))
-			.sorted(Comparator.comparingDouble(RankedServer::cost))
+			.sorted(Comparator.comparing((RankedServer ranked) -> !isPreferred(request, ranked.server(), now))
+				.thenComparingDouble(RankedServer::cost))
 			.map(RankedServer::server)
 			.toList();
 	}
@@ -292,6 +304,12 @@
 			.toList(), now);
 	}
 
+	private boolean isPreferred(PlacementRequest request, ServerEntry entry, long now) {
+		return !this.gates.isEmpty() && !entry.isEjected(now)
+				&& entry.attempts.size() + entry.peerRunningRequests < entry.registration.slots() && this.gates.stream()
+					.anyMatch((gate) -> gate.isPreferred(toUse(request, entry, Optional.empty()), now));
+	}
+
 	private Stream<ServerEntry> eligibleServers(PlacementRequest request, Optional<ServerEntry> source,
 			Predicate<ServerEntry> allowed) {
 		long now = this.context.scheduler.nowMillis();
@@ -305,7 +323,7 @@
 	}
 
 	private static boolean isRequired(ServerGate gate) {
-		return !gate.isPreference();
+		return !gate.isAdvisory();
 	}
 
 	private static ServerUse toUse(PlacementRequest request, ServerEntry entry, Optional<ServerEntry> source) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
@@ -20,7 +20,18 @@
 	 * @return {@code true} if a server to which there is an objection is used all the
 	 * same when no other one can be
 	 */
-	default boolean isPreference() {
+	default boolean isAdvisory() {
+		return false;
+	}
+
+	/**
+	 * Returns whether a server that has room is to be used before others, whatever their
+	 * load. Takes no permit.
+	 * @param use the intended use
+	 * @param nowMillis current time in milliseconds
+	 * @return {@code false} if only its cost counts
+	 */
+	default boolean isPreferred(ServerUse use, long nowMillis) {
 		return false;
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/pressure/OutstandingBodies.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pressure/OutstandingBodies.java
@@ -138,7 +138,7 @@
 	// The bound is an estimate, and a request that no other server can take is not
 	// refused for it.
 	@Override
-	public boolean isPreference() {
+	public boolean isAdvisory() {
 		return true;
 	}
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerSelectorPreferenceTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerSelectorPreferenceTests.java
@@ -79,7 +79,7 @@
 			}
 
 			@Override
-			public boolean isPreference() {
+			public boolean isAdvisory() {
 				return preference;
 			}
 
