--- a/core/src/main/java/org/skylarkspring/core/internal/LoadSystem.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/LoadSystem.java
@@ -7,6 +7,7 @@
 import org.skylarkspring.core.config.ServiceConfiguration;
 import org.skylarkspring.core.event.Event;
 import org.skylarkspring.core.model.LoadReport;
+import org.skylarkspring.core.policy.OutputLengthEstimator;
 
 /**
  * Tracks the load of each server: the last report, own placements that the report does
--- a/core/src/main/java/org/skylarkspring/core/internal/OutputLengthTable.java
+++ b/core/src/main/java/org/skylarkspring/core/internal/OutputLengthTable.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.skylarkspring.core.policy.OutputLengthEstimator;
+
 /**
  * Output length estimators for each service and for each workspace within a service.
  */
--- a/core/src/main/java/org/skylarkspring/core/internal/OutputLengthEstimator.java
+++ b/core/src/main/java/org/skylarkspring/core/policy/OutputLengthEstimator.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.core.internal;
+package org.skylarkspring.core.policy;
 
 /**
  * Estimates the remaining output length of a generation from completed and running
@@ -6,7 +6,7 @@
  * and those that ended in it, so that a long generation affects the estimate while it is
  * still running and not only when it ends. Older observations are discounted.
  */
-final class OutputLengthEstimator {
+public final class OutputLengthEstimator {
 
 	private static final double BIN_GROWTH_RATIO = 1.3;
 
@@ -31,7 +31,12 @@
 
 	private boolean meansOutdated = true;
 
-	static int binOf(int tokens) {
+	/**
+	 * Returns the length interval of a length.
+	 * @param tokens length in tokens
+	 * @return index of the interval
+	 */
+	public static int binOf(int tokens) {
 		int bin = (tokens < 1) ? 0 : (int) Math.ceil(Math.log(tokens) / Math.log(BIN_GROWTH_RATIO));
 		while (bin > 0 && BIN_UPPER_BOUNDS[Math.min(bin, BIN_COUNT) - 1] >= tokens) {
 			bin--;
@@ -45,7 +50,7 @@
 	 * just started
 	 * @param toTokens new length in tokens
 	 */
-	void recordGrowth(int fromTokens, int toTokens) {
+	public void recordGrowth(int fromTokens, int toTokens) {
 		int first = (fromTokens < 0) ? 0 : binOf(fromTokens) + 1;
 		for (int bin = first; bin <= binOf(toTokens); bin++) {
 			this.reachedCounts[bin]++;
@@ -57,7 +62,7 @@
 	 * Records that a generation has ended at the length recorded last.
 	 * @param tokens final length in tokens
 	 */
-	void recordEnd(int tokens) {
+	public void recordEnd(int tokens) {
 		this.endedCounts[binOf(tokens)]++;
 		for (int bin = 0; bin < BIN_COUNT; bin++) {
 			this.reachedCounts[bin] *= DISCOUNT_PER_GENERATION;
@@ -66,7 +71,11 @@
 		this.meansOutdated = true;
 	}
 
-	boolean hasEnoughObservations() {
+	/**
+	 * Returns whether enough generations have ended for an estimate.
+	 * @return {@code false} if the prior is returned
+	 */
+	public boolean hasEnoughObservations() {
 		double total = 0;
 		for (double count : this.endedCounts) {
 			total += count;
@@ -80,7 +89,7 @@
 	 * @param quantile quantile from 0 to 1
 	 * @return remaining tokens
 	 */
-	double quantileRemaining(int tokens, double quantile) {
+	public double quantileRemaining(int tokens, double quantile) {
 		if (!hasEnoughObservations()) {
 			return PRIOR_TOKENS;
 		}
@@ -100,7 +109,7 @@
 	 * @param tokens length so far in tokens
 	 * @return mean remaining tokens
 	 */
-	double meanRemaining(int tokens) {
+	public double meanRemaining(int tokens) {
 		if (!hasEnoughObservations()) {
 			return PRIOR_TOKENS;
 		}
--- a/core/src/test/java/org/skylarkspring/core/internal/OutputLengthEstimatorTests.java
+++ b/core/src/test/java/org/skylarkspring/core/policy/OutputLengthEstimatorTests.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.core.internal;
+package org.skylarkspring.core.policy;
 
 import java.util.Arrays;
 import java.util.SplittableRandom;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -7,6 +7,7 @@
 
 import io.undertow.server.HttpServerExchange;
 
+import org.skylarkspring.gateway.admission.AdmissionRequest;
 import org.skylarkspring.gateway.model.GenerationSize;
 import org.skylarkspring.gateway.model.RequestHead;
 import org.skylarkspring.gateway.model.RequestIdentity;
@@ -42,7 +43,14 @@
 
 	final long deadlineMillis;
 
-	final long reservedTokens;
+	/** KV cache memory that the generation is expected to need, in tokens. */
+	long reservedTokens;
+
+	/** {@code null} if admission control does not apply to the request. */
+	AdmissionRequest admission;
+
+	/** Whether it has been logged and counted that the request waits for room. */
+	boolean waitRecorded;
 
 	final EventSequenceTracker eventOrder = new EventSequenceTracker();
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -49,6 +51,8 @@
 	private Consumer<ActiveRequest> endListener = (request) -> {
 	};
 
+	private Function<ActiveRequest, OptionalLong> retryAfterSource = (request) -> OptionalLong.empty();
+
 	private Consumer<ServerAttempt> cancelListener = (attempt) -> {
 	};
 
@@ -66,6 +70,14 @@
 		this.endListener = listener;
 	}
 
+	/**
+	 * Sets the source of the time after which the caller of a rejected request may retry.
+	 * @param source returns the time in milliseconds, empty for a constant time
+	 */
+	void setRetryAfterSource(Function<ActiveRequest, OptionalLong> source) {
+		this.retryAfterSource = source;
+	}
+
 	/**
 	 * Sets the listener that is told of attempts that are cancelled before their response
 	 * was complete.
@@ -105,7 +117,7 @@
 	 * @param reason reason to log
 	 */
 	void end(ActiveRequest request, RetryDecision decision, String reason) {
-		end(request, decision, reason, RETRY_AFTER_MILLIS);
+		end(request, decision, reason, this.retryAfterSource.apply(request).orElse(RETRY_AFTER_MILLIS));
 	}
 
 	/**
@@ -275,7 +287,6 @@
 	 */
 	void detachAttempt(ServerAttempt attempt) {
 		if (attempt.server.attempts.remove(attempt)) {
-			attempt.server.reservedTokens -= attempt.activeRequest.reservedTokens;
 			attempt.markPrefillComplete();
 			attempt.releaseReservations();
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
@@ -61,8 +61,7 @@
 				backup.map((server) -> server.registration.address()));
 		ServerAttempt attempt = new ServerAttempt(this.context, dispatcher, request, entry, head, backup);
 		entry.attempts.add(attempt);
-		entry.reservedTokens += request.reservedTokens;
-		backup.ifPresent((server) -> server.reservedTokens += request.reservedTokens);
+		attempt.changeReservation(request.reservedTokens);
 		attempt.pendingPrefillTokens = resumePoint.isPresent() ? 0 : request.promptTokens();
 		entry.pendingPrefillTokens += attempt.pendingPrefillTokens;
 		return attempt;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
@@ -12,6 +13,8 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.skylarkspring.gateway.admission.AdmissionDecision;
+
 /**
  * Counters and histograms of a gateway.
  */
@@ -63,6 +66,20 @@
 		.labelNames("outcome")
 		.register(this.registry);
 
+	private final Counter admissionsTotal = Counter.builder()
+		.name("gateway_admissions_total")
+		.help("Admission decisions about generations, by reason")
+		.labelNames("route", "decision", "reason")
+		.register(this.registry);
+
+	private final Histogram admissionWaitSeconds = Histogram.builder()
+		.name("gateway_admission_wait_seconds")
+		.help("Time from the arrival of a generation to its admission or refusal")
+		.classicOnly()
+		.classicUpperBounds(LATENCY_BUCKETS_SECONDS)
+		.labelNames("route", "decision")
+		.register(this.registry);
+
 	private final Gauge activeRequests = Gauge.builder()
 		.name("gateway_requests_active")
 		.help("Requests being served")
@@ -126,6 +143,25 @@
 		this.generationReleaseSeconds.labelValues(outcome).observe(millis / MILLIS_PER_SECOND);
 	}
 
+	void recordAdmission(String route, AdmissionDecision decision, long waitedMillis) {
+		this.admissionsTotal.labelValues(route, decision.label(), decision.reason().label()).inc();
+		if (!(decision instanceof AdmissionDecision.Wait)) {
+			this.admissionWaitSeconds.labelValues(route, decision.label()).observe(waitedMillis / MILLIS_PER_SECOND);
+		}
+	}
+
+	/**
+	 * Shows how many requests wait for room on a server.
+	 * @param count number of requests
+	 */
+	void observeWaitingRequests(IntSupplier count) {
+		GaugeWithCallback.builder()
+			.name("gateway_requests_waiting")
+			.help("Generations that wait at this instance for room on a server")
+			.callback((callback) -> callback.call(count.getAsInt()))
+			.register(this.registry);
+	}
+
 	/**
 	 * Shows how many bytes of responses are held in memory.
 	 * @param heldBytes number of bytes
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -87,6 +87,8 @@
 
 	private final GenerationMigrator migrator;
 
+	private final RequestAdmission admission;
+
 	private final Lifecycle lifecycle;
 
 	private final PeerLoadSynchronizer peerLoadSynchronizer;
@@ -151,15 +153,31 @@
 		this.migrator = new GenerationMigrator(this.context, this.dispatcher, this.activeRequests, this.serverSelector);
 		this.dispatcher.setMigrator(this.migrator);
 		this.dispatcher.outcomes().setLeavingListener(this::onServerLeaving);
-		this.activeRequests.setEndListener(this.migrator::onRequestEnded);
+		this.admission = new RequestAdmission(this.context, this.configuration, this.serverSelector,
+				this.activeRequests, this.dispatcher, this.peers);
+		this.activeRequests.setEndListener((request) -> {
+			this.migrator.onRequestEnded(request);
+			this.admission.onRequestEnded(request);
+		});
 		this.bodies = new CallerBodies(this.context.scheduler);
 		this.lifecycle = new Lifecycle(this.context.scheduler, this.context.log, settings.shutdownGraceMillis(),
 				this.configuration, this.servers);
 		this.instanceRegistry = new InstanceRegistry(this.context, this.store, this.peers);
+		connectAdmission();
 		this.dispatcher.setPeerLoadCallbacks(this.peerLoadSynchronizer::refreshLoadsThen,
 				this.peerLoadSynchronizer::scheduleReport);
 	}
 
+	private void connectAdmission() {
+		this.dispatcher.setFirstDispatch(this.admission::start);
+		this.dispatcher.streamRelay().setListeners(this.admission::onEvent, this.admission::onStreamComplete);
+		this.activeRequests.setRetryAfterSource(this.admission::retryAfterMillis);
+		this.admission.setLoadRefresher(this.peerLoadSynchronizer::scheduleReport);
+		this.admission.setStartCondition((request) -> this.lifecycle.mayStart(request.route.semantics(),
+				this.dispatcher.usualResponseMillis(request.route, request.service)));
+		this.peerLoadSynchronizer.addParticipant(this.admission);
+	}
+
 	/** Starts the listeners and the background tasks. */
 	public void start() {
 		HttpHandler ingress = new IngressHandler(this.context, this.configuration, this.dispatcher, this.activeRequests,
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.http.HttpClientCall;
@@ -46,6 +47,8 @@
 
 	private Consumer<Runnable> peerLoadRefresher = Runnable::run;
 
+	private Consumer<ActiveRequest> firstDispatch = this::dispatch;
+
 	RequestDispatcher(GatewayContext context, ConfigurationPoller configuration, ServerSelector serverSelector,
 			RetryBudgets retryBudgets, DataCentreReachabilityTracker reachability, ActiveRequestRegistry activeRequests,
 			CrashQuarantine crashQuarantine, ServerRateLimits serverRateLimits) {
@@ -95,6 +98,15 @@
 		this.attemptSender.setDispatchListener(onDispatched);
 	}
 
+	/**
+	 * Sets what dispatches a generation for the first time.
+	 * @param step the step, which calls {@link #dispatch} or {@link #dispatchAvoiding},
+	 * now or later, unless the request ends before
+	 */
+	void setFirstDispatch(Consumer<ActiveRequest> step) {
+		this.firstDispatch = step;
+	}
+
 	/**
 	 * Returns the time within which a request on a route usually has its response, or the
 	 * first event of a stream.
@@ -147,7 +159,7 @@
 
 	private void dispatchUnlessFinished(ActiveRequest request) {
 		if (!request.finished) {
-			dispatch(request);
+			endOnException(request, () -> this.firstDispatch.accept(request));
 		}
 	}
 
@@ -162,6 +174,27 @@
 		endOnException(request, () -> selectServerAndSend(request));
 	}
 
+	/**
+	 * Dispatches a request to one of the servers that have room for it, or to any other
+	 * if none of these takes it.
+	 * @param request the request, which has not been dispatched before
+	 * @param fullServers ids of the servers without room
+	 */
+	void dispatchAvoiding(ActiveRequest request, Set<String> fullServers) {
+		if (fullServers.isEmpty()) {
+			dispatch(request);
+			return;
+		}
+		endOnException(request, () -> {
+			if (this.crashQuarantine.endIfQuarantined(request)) {
+				return;
+			}
+			Optional<ServerEntry> server = this.serverSelector
+				.selectServer(request.toPlacementRequest(this.context.scheduler.nowMillis()), fullServers);
+			server.ifPresentOrElse((entry) -> send(request, entry), () -> selectServerAndSend(request));
+		});
+	}
+
 	private void selectServerAndSend(ActiveRequest request) {
 		this.migrator.abortMigration(request);
 		if (this.crashQuarantine.endIfQuarantined(request)) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -55,6 +55,9 @@
 	 */
 	final ServerEntry backup;
 
+	/** KV cache memory reserved on the server and for the backup, in tokens. */
+	private long reservedTokens;
+
 	private final GatewayContext context;
 
 	private final RequestDispatcher dispatcher;
@@ -167,12 +170,22 @@
 		this.pendingPrefillTokens = 0;
 	}
 
-	/** Releases the memory reserved for the response and the backup of the KV cache. */
-	void releaseReservations() {
-		this.buffer.release();
+	/**
+	 * Changes the KV cache memory reserved on the server and for the backup.
+	 * @param tokens amount of memory, in tokens
+	 */
+	void changeReservation(long tokens) {
+		this.server.reservedTokens += tokens - this.reservedTokens;
 		if (this.backup != null) {
-			this.backup.reservedTokens -= this.activeRequest.reservedTokens;
+			this.backup.reservedTokens += tokens - this.reservedTokens;
 		}
+		this.reservedTokens = tokens;
+	}
+
+	/** Releases the memory reserved for the response and the KV cache. */
+	void releaseReservations() {
+		this.buffer.release();
+		changeReservation(0);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
+import org.skylarkspring.gateway.admission.ServiceRoom;
 import org.skylarkspring.gateway.model.EngineSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
 import org.skylarkspring.gateway.placement.PlacementRequest;
@@ -128,6 +129,28 @@
 			.min();
 	}
 
+	/**
+	 * Returns the capacity and the load of the servers that a request may be sent to now.
+	 * Takes no permit.
+	 * @param request the request
+	 * @return the capacity and the load
+	 */
+	ServiceRoom findRoom(PlacementRequest request) {
+		long now = this.context.scheduler.nowMillis();
+		long capacityTokens = request.service().engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
+		List<ServiceRoom.ServerRoom> servers = eligibleServers(request, Optional.empty(), (entry) -> true)
+			.filter((entry) -> !entry.isEjected(now)
+					&& !this.reachability.isUnreachable(entry.registration.dataCentre(), now))
+			.map((entry) -> new ServiceRoom.ServerRoom(entry.registration.id(), entry.registration.slots(),
+					entry.attempts.size(), entry.peerRunningRequests, capacityTokens, entry.reservedTokens,
+					entry.peerReservedTokens))
+			.toList();
+		List<ServerEntry> usable = usableServers(request.service()).toList();
+		return new ServiceRoom(servers,
+				usable.stream().mapToInt((entry) -> entry.attempts.size() + entry.peerRunningRequests).sum(),
+				usable.stream().mapToInt((entry) -> entry.registration.slots()).sum());
+	}
+
 	/**
 	 * Selects a server for the copy of a generation.
 	 * @param request request of the generation
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/StreamRelay.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.Map;
+import java.util.function.Consumer;
 
 import org.skylarkspring.gateway.policy.SseEvent;
 
@@ -26,12 +27,28 @@
 
 	private final CrashQuarantine crashQuarantine;
 
+	private Consumer<ServerAttempt> eventListener = (attempt) -> {
+	};
+
+	private Consumer<ActiveRequest> completionListener = (request) -> {
+	};
+
 	StreamRelay(GatewayContext context, ActiveRequestRegistry activeRequests, CrashQuarantine crashQuarantine) {
 		this.context = context;
 		this.activeRequests = activeRequests;
 		this.crashQuarantine = crashQuarantine;
 	}
 
+	/**
+	 * Sets the listeners that are told of the progress of streams.
+	 * @param onEvent receives the attempt of each event that is relayed
+	 * @param onComplete receives the request of each complete stream
+	 */
+	void setListeners(Consumer<ServerAttempt> onEvent, Consumer<ActiveRequest> onComplete) {
+		this.eventListener = onEvent;
+		this.completionListener = onComplete;
+	}
+
 	/**
 	 * Relays an event of a stream to the caller.
 	 * @param attempt the attempt that received the event
@@ -61,6 +78,7 @@
 		}
 		attempt.markPrefillComplete();
 		request.eventOrder.recordDelivered(event);
+		this.eventListener.accept(attempt);
 		return request.responseWriter.write(event.bytes());
 	}
 
@@ -89,6 +107,7 @@
 						request.firstEventMillis - request.arrivedMillis, "longest-pause-millis",
 						request.longestPauseMillis, "events", request.eventOrder.lastDeliveredId().orElse(""),
 						"carried", request.migration != null, "framing", attempt.framing()));
+		this.completionListener.accept(request);
 		this.activeRequests.finish(request, "completed");
 		request.responseWriter.end();
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/model/RoutingTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/RoutingTable.java
@@ -27,6 +27,8 @@
 
 	private final CallerLimits callerLimits;
 
+	private final Map<String, Long> longestTargetLatencyMillis;
+
 	/**
 	 * Creates a routing table.
 	 * @param version version of the configuration, increases with each change
@@ -47,6 +49,11 @@
 		this.workspacesByApiKey = Map.copyOf(workspacesByApiKey);
 		this.apiKeyRequired = apiKeyRequired;
 		this.callerLimits = callerLimits;
+		this.longestTargetLatencyMillis = routes.stream()
+			.flatMap((route) -> route.services()
+				.stream()
+				.map((target) -> Map.entry(target.service(), route.targetLatencyMillis())))
+			.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, Math::max));
 	}
 
 	/**
@@ -81,6 +88,15 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Returns the longest target latency of the routes to a service.
+	 * @param service name of the service
+	 * @return the target latency in milliseconds, 0 if no route has the service
+	 */
+	public long longestTargetLatencyMillis(String service) {
+		return this.longestTargetLatencyMillis.getOrDefault(service, 0L);
+	}
+
 	/**
 	 * Returns the workspace that an API key belongs to.
 	 * @param key the API key of a caller
--- a/gateway/src/main/java/org/skylarkspring/gateway/policy/EventSequenceTracker.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/EventSequenceTracker.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.policy;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Detects duplicate and missing events where a stream passes from one run of its
@@ -45,6 +46,15 @@
 		return Optional.ofNullable(this.lastDeliveredId);
 	}
 
+	/**
+	 * Returns the number of the last event that was delivered to the caller.
+	 * @return the number, empty if no delivered event had one
+	 */
+	public OptionalLong lastDeliveredNumber() {
+		return (this.lastDeliveredNumber == NO_EVENT) ? OptionalLong.empty()
+				: OptionalLong.of(this.lastDeliveredNumber);
+	}
+
 	private static Optional<Long> parseNumber(String id) {
 		try {
 			return Optional.of(Long.parseLong(id));
