--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionControl.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionControl.java
@@ -24,10 +24,8 @@
 	/** Shortest target latency that leaves time to wait for room. */
 	public static final long MINIMUM_TARGET_LATENCY_MILLIS = 3_000;
 
-	/**
-	 * Part of the target latency that is kept while no time to the first event is known.
-	 */
-	private static final double UNKNOWN_FIRST_EVENT_SHARE = 0.5;
+	/** Part of the allowed time that is kept while the time that is needed is unknown. */
+	private static final double UNKNOWN_TIME_SHARE = 0.5;
 
 	/** Used while the time of room is unknown. */
 	private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
@@ -120,10 +118,14 @@
 
 	private long latestStartMillis(AdmissionRequest request) {
 		RouteTimes known = timesOf(request);
-		long firstEventMillis = known.firstEvent.isKnown() ? known.firstEvent.highMillis()
-				: (long) (UNKNOWN_FIRST_EVENT_SHARE * request.targetLatencyMillis());
-		long inTimeMillis = request.arrivedMillis() + request.targetLatencyMillis() - firstEventMillis;
-		return Math.min(inTimeMillis, request.deadlineMillis() - known.response.highMillis());
+		long firstEventMillis = known.firstEvent.highMillisOr(share(request.targetLatencyMillis()));
+		long responseMillis = known.response.highMillisOr(share(request.deadlineMillis() - request.arrivedMillis()));
+		return Math.min(request.arrivedMillis() + request.targetLatencyMillis() - firstEventMillis,
+				request.deadlineMillis() - responseMillis);
+	}
+
+	private static long share(long allowedMillis) {
+		return (long) (UNKNOWN_TIME_SHARE * allowedMillis);
 	}
 
 	private RouteTimes timesOf(AdmissionRequest request) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/DemandTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/DemandTable.java
@@ -45,13 +45,17 @@
 
 	private long peersReceivedMillis = NEVER;
 
-	private long firstRequestMillis = NEVER;
+	private long firstSumMillis = NEVER;
 
 	void addRunning(AdmissionRequest request, long nowMillis) {
-		this.firstRequestMillis = (this.firstRequestMillis == NEVER) ? nowMillis : this.firstRequestMillis;
+		startSums(nowMillis);
 		this.running.put(request.id(), request);
 	}
 
+	private void startSums(long nowMillis) {
+		this.firstSumMillis = (this.firstSumMillis == NEVER) ? nowMillis : this.firstSumMillis;
+	}
+
 	void changeRunning(long id, long tokens) {
 		this.running.computeIfPresent(id, (key, request) -> request.withTokens(tokens));
 	}
@@ -79,6 +83,7 @@
 		List<WorkspaceDemand> entries = (peers.workspaceDemand() != null) ? peers.workspaceDemand() : List.of();
 		this.peersByService = entries.stream().collect(Collectors.groupingBy(WorkspaceDemand::service));
 		this.peersReceivedMillis = nowMillis;
+		startSums(nowMillis);
 	}
 
 	/**
@@ -168,14 +173,15 @@
 		return new ServiceDemand(runningTokens, waitingTokens, releaseRate(entries, nowMillis));
 	}
 
-	// An instance that has started recently adds up over less than the window.
+	// Instances that have started recently add up over less than the window. The rate is
+	// too high while only this one has, so that requests are rather admitted.
 	private OptionalDouble releaseRate(List<WorkspaceDemand> entries, long nowMillis) {
 		long ended = entries.stream().mapToLong(WorkspaceDemand::endedRequests).sum();
 		long tokens = entries.stream().mapToLong(WorkspaceDemand::releasedTokens).sum();
-		if (ended < MINIMUM_ENDED_REQUESTS || this.firstRequestMillis == NEVER) {
+		if (ended < MINIMUM_ENDED_REQUESTS || this.firstSumMillis == NEVER) {
 			return OptionalDouble.empty();
 		}
-		double elapsedMillis = Math.max(1, Math.min(WINDOW_MILLIS, nowMillis - this.firstRequestMillis));
+		double elapsedMillis = Math.max(1, Math.min(WINDOW_MILLIS, nowMillis - this.firstSumMillis));
 		return OptionalDouble.of(tokens / elapsedMillis * (1 + RATE_DEVIATIONS / Math.sqrt(ended)));
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/DurationEstimate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/DurationEstimate.java
@@ -36,14 +36,11 @@
 
 	/**
 	 * Returns a duration that few exceed.
-	 * @return the duration in milliseconds, 0 if none is known
+	 * @param unknownMillis returned if no duration is known, in milliseconds
+	 * @return the duration in milliseconds
 	 */
-	long highMillis() {
-		return (long) Math.max(0, this.meanMillis + DEVIATIONS * this.deviationMillis);
-	}
-
-	boolean isKnown() {
-		return this.meanMillis >= 0;
+	long highMillisOr(long unknownMillis) {
+		return (this.meanMillis < 0) ? unknownMillis : (long) (this.meanMillis + DEVIATIONS * this.deviationMillis);
 	}
 
 }
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/DispatcherTestBase.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/DispatcherTestBase.java
@@ -75,14 +75,24 @@
 	abstract void start(HttpServerExchange exchange);
 
 	final String sendRequest() throws IOException {
-		int port = ((InetSocketAddress) this.server.getListenerInfo().get(0).getAddress()).getPort();
-		try (Socket caller = new Socket("127.0.0.1", port)) {
-			caller.setSoTimeout(READ_TIMEOUT_MILLIS);
-			caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+		try (Socket caller = openCaller()) {
 			byte[] response = new byte[1_024];
 			int count = caller.getInputStream().read(response);
 			return new String(response, 0, Math.max(0, count), StandardCharsets.US_ASCII);
 		}
 	}
 
+	/**
+	 * Opens the connection of a caller and sends a request.
+	 * @return the connection
+	 * @throws IOException if the request cannot be sent
+	 */
+	final Socket openCaller() throws IOException {
+		int port = ((InetSocketAddress) this.server.getListenerInfo().get(0).getAddress()).getPort();
+		Socket caller = new Socket("127.0.0.1", port);
+		caller.setSoTimeout(READ_TIMEOUT_MILLIS);
+		caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+		return caller;
+	}
+
 }
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerDispatcherTestBase.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerDispatcherTestBase.java
@@ -24,6 +24,10 @@
 
 	RequestDispatcher dispatcher;
 
+	ServerSelector selector;
+
+	PeerTable peers;
+
 	@BeforeEach
 	void openBackend() throws IOException {
 		this.backend = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
@@ -42,15 +46,16 @@
 				new ServerRegistration("i-1", "s", "127.0.0.1:" + this.backend.getLocalPort(), "dc-1", 6, false, 0, 1),
 				0);
 		this.entry = servers.find("i-1").orElseThrow();
-		PeerTable peers = new PeerTable(new ClusterMember("gateway-1", "dc-1", 1), 5);
-		ServerRateLimits rateLimits = new ServerRateLimits(this.context, servers, peers);
+		this.peers = new PeerTable(new ClusterMember("gateway-1", "dc-1", 1), 5);
+		ServerRateLimits rateLimits = new ServerRateLimits(this.context, servers, this.peers);
 		DataCentreReachabilityTracker reachability = new DataCentreReachabilityTracker();
-		ServerSelector selector = new ServerSelector(this.context, servers, peers, rateLimits, reachability,
+		this.selector = new ServerSelector(this.context, servers, this.peers, rateLimits, reachability,
 				PlacementCostFunctions.leastLoaded());
-		this.dispatcher = new RequestDispatcher(this.context, this.configuration, selector,
-				new RetryBudgets(this.context.settings, this.context.scheduler, peers), reachability, this.registry,
-				new CrashQuarantine(this.context, this.store, this.registry), rateLimits);
-		this.dispatcher.setMigrator(new GenerationMigrator(this.context, this.dispatcher, this.registry, selector));
+		this.dispatcher = new RequestDispatcher(this.context, this.configuration, this.selector,
+				new RetryBudgets(this.context.settings, this.context.scheduler, this.peers), reachability,
+				this.registry, new CrashQuarantine(this.context, this.store, this.registry), rateLimits);
+		this.dispatcher
+			.setMigrator(new GenerationMigrator(this.context, this.dispatcher, this.registry, this.selector));
 	}
 
 }
