--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionControl.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionControl.java
@@ -88,13 +88,28 @@
 			return new AdmissionDecision.Admit(room.fullServers(request.tokens(), figures.peerCertainty()),
 					AdmissionReason.ROOM, figures);
 		}
+		return decideWithoutRoom(request, room, figures, nowMillis);
+	}
+
+	// A request that waits here while engines have queues gets no room, because engines
+	// start what they have queued first.
+	private AdmissionDecision decideWithoutRoom(AdmissionRequest request, ServiceRoom room, AdmissionFigures figures,
+			long nowMillis) {
+		long untilMillis = latestStartMillis(request);
+		boolean inTime = nowMillis + figures.expectedRoomMillis().orElse(0) < untilMillis;
+		if (inTime && room.hasServerWithoutQueue(figures.peerCertainty())) {
+			return new AdmissionDecision.Wait(untilMillis, AdmissionReason.NO_ROOM, figures);
+		}
+		boolean aboveShare = figures.workspaceTokens() > figures.workspaceShareTokens();
+		if (inTime && !aboveShare) {
+			return new AdmissionDecision.Admit(Set.of(), AdmissionReason.ENGINE_QUEUE, figures);
+		}
 		if (isDeadlineUnreachable(request, room, figures, nowMillis)) {
 			return new AdmissionDecision.Refuse(retryAfterMillis(request, figures, nowMillis),
 					AdmissionReason.DEADLINE_UNREACHABLE, figures);
 		}
-		long untilMillis = latestStartMillis(request);
-		return (nowMillis < untilMillis) ? new AdmissionDecision.Wait(untilMillis, AdmissionReason.NO_ROOM, figures)
-				: new AdmissionDecision.Admit(Set.of(), AdmissionReason.NO_TIME_TO_WAIT, figures);
+		return new AdmissionDecision.Admit(Set.of(),
+				inTime ? AdmissionReason.ABOVE_SHARE : AdmissionReason.LATE, figures);
 	}
 
 	/**
@@ -112,7 +127,7 @@
 	// In doubt the request is admitted: a late response is of more use than none.
 	private static boolean isDeadlineUnreachable(AdmissionRequest request, ServiceRoom room, AdmissionFigures figures,
 			long nowMillis) {
-		long earliestEndMillis = nowMillis + figures.expectedRoomMillis().orElse(0) + figures.expectedServiceMillis();
+		long earliestEndMillis = nowMillis + figures.expectedQueueMillis().orElse(0) + figures.expectedServiceMillis();
 		return figures.peerCertainty() >= 1 && room.isHalfTaken() && earliestEndMillis > request.deadlineMillis();
 	}
 
@@ -137,10 +152,12 @@
 		DemandTable.ServiceDemand service = demandOf(request.service(), nowMillis);
 		Map<String, Double> shares = shares(room, service);
 		long aheadTokens = aheadTokens(request, service, shares);
+		double missingTokens = room.leastMissingShare(request.tokens(), certainty) * room.capacityTokens();
 		return new AdmissionFigures(request.tokens(), room.largestFreeTokens(certainty), room.takenSlots(),
 				room.totalSlots(), service.runningOf(request.workspace()),
-				Math.round(shares.getOrDefault(request.workspace(), 0.0)), aheadTokens,
-				expectedRoomMillis(request, room, service, aheadTokens, certainty),
+				Math.round(shares.getOrDefault(request.workspace(), 0.0)), service.deferredTokens(), aheadTokens,
+				releaseMillis(Math.max(0, missingTokens - service.deferredTokens()) + aheadTokens, service),
+				releaseMillis(missingTokens + aheadTokens, service),
 				timesOf(request).response.lowMillis(), certainty);
 	}
 
@@ -171,20 +188,15 @@
 		return others + Math.max(0, service.waitingOf(request.workspace()) - request.tokens());
 	}
 
-	private static OptionalLong expectedRoomMillis(AdmissionRequest request, ServiceRoom room,
-			DemandTable.ServiceDemand service, long aheadTokens, double certainty) {
-		if (service.releasedTokensPerMilli().isEmpty() || service.releasedTokensPerMilli().getAsDouble() <= 0) {
-			return OptionalLong.empty();
-		}
-		double missingTokens = room.leastMissingShare(request.tokens(), certainty) * room.capacityTokens();
-		return OptionalLong
-			.of(Math.round((missingTokens + aheadTokens) / service.releasedTokensPerMilli().getAsDouble()));
+	private static OptionalLong releaseMillis(double tokens, DemandTable.ServiceDemand service) {
+		double rate = service.releasedTokensPerMilli().orElse(0);
+		return (rate <= 0) ? OptionalLong.empty() : OptionalLong.of(Math.round(tokens / rate));
 	}
 
 	/**
 	 * Returns the time after which the caller of a refused request may send it again:
-	 * when room is expected, spread over as long again so that callers do not return
-	 * together, and no later than callers obey.
+	 * when room is expected, spread over the length of the queue so that callers do not
+	 * return together, and no later than callers obey.
 	 * @param request the request
 	 * @param room servers of its service
 	 * @param nowMillis current time in milliseconds
@@ -196,7 +208,8 @@
 
 	private long retryAfterMillis(AdmissionRequest request, AdmissionFigures figures, long nowMillis) {
 		long roomMillis = figures.expectedRoomMillis().orElse(DEFAULT_RETRY_AFTER_MILLIS);
-		double spreadMillis = Math.max(MINIMUM_RETRY_AFTER_MILLIS, roomMillis) * this.random.getAsDouble();
+		long queueMillis = figures.expectedQueueMillis().orElse(DEFAULT_RETRY_AFTER_MILLIS);
+		double spreadMillis = Math.max(MINIMUM_RETRY_AFTER_MILLIS, queueMillis) * this.random.getAsDouble();
 		long remainingMillis = Math.max(0, request.deadlineMillis() - nowMillis);
 		long followedMillis = (long) (remainingMillis / RETRY_AFTER_DIVISOR * (1 + this.random.getAsDouble()) / 2);
 		return Math.max(MINIMUM_RETRY_AFTER_MILLIS, Math.min(followedMillis, roomMillis + (long) spreadMillis));
@@ -256,14 +269,16 @@
 	 * Records that a request is dispatched for the first time.
 	 * @param request the request
 	 * @param size size of the generation
-	 * @param reason reason of its admission
+	 * @param decision decision to admit it
 	 * @param nowMillis current time in milliseconds
 	 */
-	public void recordDispatch(AdmissionRequest request, GenerationSize size, AdmissionReason reason, long nowMillis) {
+	public void recordDispatch(AdmissionRequest request, GenerationSize size, AdmissionDecision.Admit decision,
+			long nowMillis) {
 		this.queue.removeDispatched(request.id());
 		this.demand.addRunning(request, nowMillis);
 		this.running.put(request.id(),
-				new Running(new OutputLengths.Generation(request, size), reason == AdmissionReason.ROOM, nowMillis));
+				new Running(new OutputLengths.Generation(request, size), decision.reason() == AdmissionReason.ROOM, nowMillis));
+		this.demand.setDeferred(request.id(), decision.isDeferred());
 	}
 
 	/**
@@ -281,6 +296,7 @@
 		}
 		if (!request.firstEventReceived) {
 			request.firstEventReceived = true;
+			this.demand.setDeferred(id, false);
 			recordTime(request, timesOf(request.generation.request()).firstEvent, nowMillis);
 		}
 		if (!this.outputLengths.recordEvent(request.generation, eventNumber)) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionDecision.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionDecision.java
@@ -35,6 +35,15 @@
 	record Admit(Set<String> fullServers, AdmissionReason reason,
 			AdmissionFigures figures) implements AdmissionDecision {
 
+		/**
+		 * Returns whether engines should start other requests first that they have
+		 * queued.
+		 * @return {@code true} for a lower priority
+		 */
+		public boolean isDeferred() {
+			return this.reason == AdmissionReason.LATE || this.reason == AdmissionReason.ABOVE_SHARE;
+		}
+
 		@Override
 		public String label() {
 			return "admit";
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionFigures.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionFigures.java
@@ -13,15 +13,19 @@
  * @param totalSlots slots of the service's servers
  * @param workspaceTokens memory that the workspace uses on all instances, in tokens
  * @param workspaceShareTokens fair share of the workspace, in tokens
+ * @param deferredTokens memory that deferred requests in the queues of engines wait for,
+ * in tokens
  * @param aheadTokens memory that requests ahead of this one wait for, in tokens
- * @param expectedRoomMillis time until room is expected, empty if unknown, in
- * milliseconds
+ * @param expectedRoomMillis time until room is expected for a request that is started
+ * before deferred ones, empty if unknown, in milliseconds
+ * @param expectedQueueMillis time until room is expected for a deferred request, empty if
+ * unknown, in milliseconds
  * @param expectedServiceMillis shortest usual time from the dispatch to the end of the
  * response, in milliseconds
  * @param peerCertainty weight of the loads of the other instances by their age, 0 to 1
  */
 public record AdmissionFigures(long requestTokens, long freeTokens, int takenSlots, int totalSlots,
-		long workspaceTokens, long workspaceShareTokens, long aheadTokens, OptionalLong expectedRoomMillis,
+		long workspaceTokens, long workspaceShareTokens, long deferredTokens, long aheadTokens, OptionalLong expectedRoomMillis, OptionalLong expectedQueueMillis,
 		long expectedServiceMillis, double peerCertainty) {
 
 	/**
@@ -36,8 +40,10 @@
 		fields.put("slots", this.totalSlots);
 		fields.put("workspace-tokens", this.workspaceTokens);
 		fields.put("workspace-share", this.workspaceShareTokens);
+		fields.put("deferred-tokens", this.deferredTokens);
 		fields.put("ahead-tokens", this.aheadTokens);
 		this.expectedRoomMillis.ifPresent((millis) -> fields.put("expected-room-millis", millis));
+		this.expectedQueueMillis.ifPresent((millis) -> fields.put("expected-queue-millis", millis));
 		fields.put("expected-service-millis", this.expectedServiceMillis);
 		fields.put("peer-certainty", this.peerCertainty);
 		return fields;
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionReason.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionReason.java
@@ -14,8 +14,14 @@
 	/** No server has room, but the request may wait and still be served in time. */
 	NO_ROOM("no-room"),
 
-	/** No server has room, and an engine has to queue the request from now on. */
-	NO_TIME_TO_WAIT("no-time-to-wait"),
+	/** Engines queue requests, of which this one can still be served in time. */
+	ENGINE_QUEUE("engine-queue"),
+
+	/** The request cannot be served in time any more, but before its deadline. */
+	LATE("late"),
+
+	/** No server has room, and the workspace uses more than its fair share. */
+	ABOVE_SHARE("above-share"),
 
 	/** The service or its route no longer has a target latency that allows to wait. */
 	NOT_APPLICABLE("not-applicable"),
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/DemandTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/DemandTable.java
@@ -1,10 +1,12 @@
 package org.skylarkspring.gateway.admission;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -39,6 +41,9 @@
 
 	private final Map<Long, AdmissionRequest> running = new LinkedHashMap<>();
 
+	/** Dispatched requests that an engine starts after others, until their first event. */
+	private final Set<Long> deferred = new HashSet<>();
+
 	private final BoundedTable<WindowKey, DemandWindow> windows = new BoundedTable<>(MAXIMUM_WINDOWS);
 
 	private Map<String, List<WorkspaceDemand>> peersByService = Map.of();
@@ -60,7 +65,17 @@
 		this.running.computeIfPresent(id, (key, request) -> request.withTokens(tokens));
 	}
 
+	void setDeferred(long id, boolean queued) {
+		if (queued) {
+			this.deferred.add(id);
+		}
+		else {
+			this.deferred.remove(id);
+		}
+	}
+
 	void endRunning(long id, long nowMillis) {
+		this.deferred.remove(id);
 		AdmissionRequest ended = this.running.remove(id);
 		if (ended != null) {
 			windowOf(ended).add(new DemandWindow.Sums(1, ended.tokens(), 0, 0), nowMillis);
@@ -108,23 +123,25 @@
 	 */
 	List<WorkspaceDemand> own(Stream<AdmissionRequest> waiting, long nowMillis) {
 		Map<String, WorkspaceDemand> entries = new LinkedHashMap<>();
-		this.running.values().forEach((request) -> addTo(entries, toDemand(request, request.tokens(), 0)));
-		waiting.forEach((request) -> addTo(entries, toDemand(request, 0, request.tokens())));
+		this.running.values().forEach((request) -> addTo(entries, toDemand(request, request.tokens(),
+				this.deferred.contains(request.id()) ? request.tokens() : 0, 0)));
+		waiting.forEach((request) -> addTo(entries, toDemand(request, 0, 0, request.tokens())));
 		this.windows.entries().forEach((window) -> {
 			DemandWindow.Sums sums = window.getValue().total(nowMillis);
 			if (!sums.equals(DemandWindow.Sums.NONE)) {
 				addTo(entries,
 						new WorkspaceDemand(window.getKey().routeKey().service(), window.getKey().routeKey().route(),
-								window.getKey().workspace(), 0, 0, sums.requests(), sums.releasedTokens(),
+								window.getKey().workspace(), 0, 0, 0, sums.requests(), sums.releasedTokens(),
 								sums.generations(), sums.outputTokens()));
 			}
 		});
 		return List.copyOf(entries.values());
 	}
 
-	private static WorkspaceDemand toDemand(AdmissionRequest request, long runningTokens, long waitingTokens) {
+	private static WorkspaceDemand toDemand(AdmissionRequest request, long runningTokens, long deferredTokens,
+			long waitingTokens) {
 		return new WorkspaceDemand(request.service(), request.route(), request.workspace(), runningTokens,
-				waitingTokens, 0, 0, 0, 0);
+				deferredTokens, waitingTokens, 0, 0, 0, 0);
 	}
 
 	private static void addTo(Map<String, WorkspaceDemand> entries, WorkspaceDemand demand) {
@@ -170,7 +187,8 @@
 			runningTokens.merge(entry.workspace(), entry.runningTokens(), Long::sum);
 			waitingTokens.merge(entry.workspace(), entry.waitingTokens(), Long::sum);
 		});
-		return new ServiceDemand(runningTokens, waitingTokens, releaseRate(entries, nowMillis));
+		return new ServiceDemand(runningTokens, waitingTokens,
+				entries.stream().mapToLong(WorkspaceDemand::deferredTokens).sum(), releaseRate(entries, nowMillis));
 	}
 
 	// Instances that have started recently add up over less than the window. The rate is
@@ -190,10 +208,12 @@
 	 *
 	 * @param runningTokens memory of dispatched requests, by workspace, in tokens
 	 * @param waitingTokens memory that waiting requests need, by workspace, in tokens
+	 * @param deferredTokens memory of deferred requests that engines have not started, in
+	 * tokens
 	 * @param releasedTokensPerMilli upper estimate of the rate at which memory is
 	 * released, empty if unknown
 	 */
-	record ServiceDemand(Map<String, Long> runningTokens, Map<String, Long> waitingTokens,
+	record ServiceDemand(Map<String, Long> runningTokens, Map<String, Long> waitingTokens, long deferredTokens,
 			OptionalDouble releasedTokensPerMilli) {
 
 		Map<String, Long> wantedTokens() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/ServiceRoom.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/ServiceRoom.java
@@ -45,6 +45,16 @@
 			.orElse(0);
 	}
 
+	/**
+	 * Returns whether a request that waits here gets the next room of a server, because
+	 * that server has queued none.
+	 * @param peerCertainty weight of the loads of other instances
+	 * @return {@code false} if all engines have queued requests
+	 */
+	boolean hasServerWithoutQueue(double peerCertainty) {
+		return this.servers.stream().anyMatch((server) -> !server.hasQueue(peerCertainty));
+	}
+
 	/**
 	 * Returns the memory that has to be released on a server before the request fits, as
 	 * a share of the capacity of the server where this is least.
@@ -85,6 +95,10 @@
 			return requests(peerCertainty) + 1 <= Math.max(1, this.slots);
 		}
 
+		boolean hasQueue(double peerCertainty) {
+			return requests(peerCertainty) > this.slots || reservedTokens(peerCertainty) > this.capacityTokens;
+		}
+
 		long reservedTokens(double peerCertainty) {
 			return this.ownTokens + (long) (peerCertainty * this.peerTokens);
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/WorkspaceDemand.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/WorkspaceDemand.java
@@ -10,13 +10,16 @@
  * @param route route of the requests
  * @param workspace workspace of the requests, empty for anonymous ones
  * @param runningTokens KV cache memory of dispatched requests, in tokens
+ * @param deferredTokens part of it that waits in the queues of engines behind other
+ * requests, in tokens
  * @param waitingTokens KV cache memory that waiting requests need, in tokens
  * @param endedRequests number of dispatched requests that have ended
  * @param releasedTokens KV cache memory that these have released, in tokens
  * @param measuredGenerations number of completed generations of known length
  * @param outputTokens sum of the lengths of these generations, in tokens
  */
-public record WorkspaceDemand(String service, String route, String workspace, long runningTokens, long waitingTokens,
+public record WorkspaceDemand(String service, String route, String workspace, long runningTokens, long deferredTokens,
+		long waitingTokens,
 		long endedRequests, long releasedTokens, long measuredGenerations,
 		long outputTokens) implements DigestEntry<WorkspaceDemand> {
 
@@ -33,6 +36,7 @@
 	@Override
 	public WorkspaceDemand plus(WorkspaceDemand other) {
 		return new WorkspaceDemand(this.service, this.route, this.workspace, this.runningTokens + other.runningTokens,
+				this.deferredTokens + other.deferredTokens,
 				this.waitingTokens + other.waitingTokens, this.endedRequests + other.endedRequests,
 				this.releasedTokens + other.releasedTokens, this.measuredGenerations + other.measuredGenerations,
 				this.outputTokens + other.outputTokens);
@@ -40,7 +44,7 @@
 
 	@Override
 	public boolean isValid() {
-		return isInRange(this.runningTokens) && isInRange(this.waitingTokens) && isInRange(this.endedRequests)
+		return isInRange(this.runningTokens) && isInRange(this.deferredTokens) && isInRange(this.waitingTokens) && isInRange(this.endedRequests)
 				&& isInRange(this.releasedTokens) && isInRange(this.measuredGenerations)
 				&& isInRange(this.outputTokens);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -52,6 +52,9 @@
 	/** Whether it has been logged and counted that the request waits for room. */
 	boolean waitRecorded;
 
+	/** Whether the engine that gets the request first should start others before it. */
+	boolean deferred;
+
 	final EventSequenceTracker eventOrder = new EventSequenceTracker();
 
 	final Set<String> triedServers = new HashSet<>();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestAdmission.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestAdmission.java
@@ -177,8 +177,9 @@
 
 	private void admit(ActiveRequest request, AdmissionDecision.Admit decision) {
 		this.waiting.remove(request.admission.id());
+		request.deferred = decision.isDeferred();
 		record(request, decision);
-		this.control.recordDispatch(request.admission, request.head.generationSize().orElseThrow(), decision.reason(),
+		this.control.recordDispatch(request.admission, request.head.generationSize().orElseThrow(), decision,
 				this.context.scheduler.nowMillis());
 		this.dispatcher.dispatchAvoiding(request, decision.fullServers());
 	}
--- a/gateway/src/test/java/org/skylarkspring/gateway/admission/ClusterModel.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/admission/ClusterModel.java
@@ -305,8 +305,8 @@
 			AdmissionDecision decision = this.control.decide(request.admission, room(), now);
 			if (decision instanceof AdmissionDecision.Admit admit) {
 				this.waiting.remove(request.admission.id());
-				this.control.recordDispatch(request.admission, request.size, admit.reason(), now);
-				request.priority = (admit.reason() == AdmissionReason.NO_TIME_TO_WAIT) ? 1 : 0;
+				this.control.recordDispatch(request.admission, request.size, admit, now);
+				request.priority = admit.isDeferred() ? 1 : 0;
 				dispatch(request, (engine) -> !admit.fullServers().contains(engine.id()));
 			}
 			else if (decision instanceof AdmissionDecision.Refuse refuse) {
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/RequestAdmissionTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/RequestAdmissionTests.java
@@ -250,7 +250,7 @@
 			onIoThread(() -> {
 				RequestAdmissionTests.this.entry.peerReservedTokens = Integer.MAX_VALUE;
 				RequestAdmissionTests.this.admission.onPeerDigest(new PeerDigest(null, null,
-						List.of(new WorkspaceDemand("s", "r", "w", Integer.MAX_VALUE, 0, 100, 100, 0, 0)), null),
+						List.of(new WorkspaceDemand("s", "r", "w", Integer.MAX_VALUE, 0, 0, 100, 100, 0, 0)), null),
 						RequestAdmissionTests.this.context.scheduler.nowMillis() - 1_000);
 			});
 			String response = sendRequest();
