--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionControl.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionControl.java
@@ -108,8 +108,8 @@
 			return new AdmissionDecision.Refuse(retryAfterMillis(request, figures, nowMillis),
 					AdmissionReason.DEADLINE_UNREACHABLE, figures);
 		}
-		return new AdmissionDecision.Admit(Set.of(),
-				inTime ? AdmissionReason.ABOVE_SHARE : AdmissionReason.LATE, figures);
+		return new AdmissionDecision.Admit(Set.of(), inTime ? AdmissionReason.ABOVE_SHARE : AdmissionReason.LATE,
+				figures);
 	}
 
 	/**
@@ -157,8 +157,7 @@
 				room.totalSlots(), service.runningOf(request.workspace()),
 				Math.round(shares.getOrDefault(request.workspace(), 0.0)), service.deferredTokens(), aheadTokens,
 				releaseMillis(Math.max(0, missingTokens - service.deferredTokens()) + aheadTokens, service),
-				releaseMillis(missingTokens + aheadTokens, service),
-				timesOf(request).response.lowMillis(), certainty);
+				releaseMillis(missingTokens + aheadTokens, service), timesOf(request).response.lowMillis(), certainty);
 	}
 
 	private DemandTable.ServiceDemand demandOf(String service, long nowMillis) {
@@ -276,8 +275,8 @@
 			long nowMillis) {
 		this.queue.removeDispatched(request.id());
 		this.demand.addRunning(request, nowMillis);
-		this.running.put(request.id(),
-				new Running(new OutputLengths.Generation(request, size), decision.reason() == AdmissionReason.ROOM, nowMillis));
+		this.running.put(request.id(), new Running(new OutputLengths.Generation(request, size),
+				decision.reason() == AdmissionReason.ROOM, nowMillis));
 		this.demand.setDeferred(request.id(), decision.isDeferred());
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionFigures.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/AdmissionFigures.java
@@ -25,8 +25,9 @@
  * @param peerCertainty weight of the loads of the other instances by their age, 0 to 1
  */
 public record AdmissionFigures(long requestTokens, long freeTokens, int takenSlots, int totalSlots,
-		long workspaceTokens, long workspaceShareTokens, long deferredTokens, long aheadTokens, OptionalLong expectedRoomMillis, OptionalLong expectedQueueMillis,
-		long expectedServiceMillis, double peerCertainty) {
+		long workspaceTokens, long workspaceShareTokens, long deferredTokens, long aheadTokens,
+		OptionalLong expectedRoomMillis, OptionalLong expectedQueueMillis, long expectedServiceMillis,
+		double peerCertainty) {
 
 	/**
 	 * Returns the figures by their names in log lines.
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/DemandTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/DemandTable.java
@@ -41,7 +41,9 @@
 
 	private final Map<Long, AdmissionRequest> running = new LinkedHashMap<>();
 
-	/** Dispatched requests that an engine starts after others, until their first event. */
+	/**
+	 * Dispatched requests that an engine starts after others, until their first event.
+	 */
 	private final Set<Long> deferred = new HashSet<>();
 
 	private final BoundedTable<WindowKey, DemandWindow> windows = new BoundedTable<>(MAXIMUM_WINDOWS);
@@ -123,8 +125,9 @@
 	 */
 	List<WorkspaceDemand> own(Stream<AdmissionRequest> waiting, long nowMillis) {
 		Map<String, WorkspaceDemand> entries = new LinkedHashMap<>();
-		this.running.values().forEach((request) -> addTo(entries, toDemand(request, request.tokens(),
-				this.deferred.contains(request.id()) ? request.tokens() : 0, 0)));
+		this.running.values()
+			.forEach((request) -> addTo(entries, toDemand(request, request.tokens(),
+					this.deferred.contains(request.id()) ? request.tokens() : 0, 0)));
 		waiting.forEach((request) -> addTo(entries, toDemand(request, 0, 0, request.tokens())));
 		this.windows.entries().forEach((window) -> {
 			DemandWindow.Sums sums = window.getValue().total(nowMillis);
--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/WorkspaceDemand.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/WorkspaceDemand.java
@@ -19,8 +19,7 @@
  * @param outputTokens sum of the lengths of these generations, in tokens
  */
 public record WorkspaceDemand(String service, String route, String workspace, long runningTokens, long deferredTokens,
-		long waitingTokens,
-		long endedRequests, long releasedTokens, long measuredGenerations,
+		long waitingTokens, long endedRequests, long releasedTokens, long measuredGenerations,
 		long outputTokens) implements DigestEntry<WorkspaceDemand> {
 
 	/** Above any number of tokens or requests of a service. */
@@ -36,17 +35,16 @@
 	@Override
 	public WorkspaceDemand plus(WorkspaceDemand other) {
 		return new WorkspaceDemand(this.service, this.route, this.workspace, this.runningTokens + other.runningTokens,
-				this.deferredTokens + other.deferredTokens,
-				this.waitingTokens + other.waitingTokens, this.endedRequests + other.endedRequests,
-				this.releasedTokens + other.releasedTokens, this.measuredGenerations + other.measuredGenerations,
-				this.outputTokens + other.outputTokens);
+				this.deferredTokens + other.deferredTokens, this.waitingTokens + other.waitingTokens,
+				this.endedRequests + other.endedRequests, this.releasedTokens + other.releasedTokens,
+				this.measuredGenerations + other.measuredGenerations, this.outputTokens + other.outputTokens);
 	}
 
 	@Override
 	public boolean isValid() {
-		return isInRange(this.runningTokens) && isInRange(this.deferredTokens) && isInRange(this.waitingTokens) && isInRange(this.endedRequests)
-				&& isInRange(this.releasedTokens) && isInRange(this.measuredGenerations)
-				&& isInRange(this.outputTokens);
+		return isInRange(this.runningTokens) && isInRange(this.deferredTokens) && isInRange(this.waitingTokens)
+				&& isInRange(this.endedRequests) && isInRange(this.releasedTokens)
+				&& isInRange(this.measuredGenerations) && isInRange(this.outputTokens);
 	}
 
 	private static boolean isInRange(long value) {
--- a/gateway/src/test/java/org/skylarkspring/gateway/admission/ClusterModel.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/admission/ClusterModel.java
@@ -129,7 +129,10 @@
 	}
 
 	private Instance instanceOf(ModelRequest request) {
-		return this.instances.stream().filter((instance) -> instance.running.contains(request)).findFirst().orElseThrow();
+		return this.instances.stream()
+			.filter((instance) -> instance.running.contains(request))
+			.findFirst()
+			.orElseThrow();
 	}
 
 	private void relayEvents() {
@@ -137,13 +140,14 @@
 	}
 
 	private void endOverdue() {
-		this.instances.forEach((instance) -> Stream.concat(instance.running.stream(), instance.waiting.values().stream())
-			.filter((request) -> this.nowMillis >= request.deadlineMillis())
-			.toList()
-			.forEach((request) -> {
-				request.outcome = ModelRequest.Outcome.DEADLINE_EXCEEDED;
-				instance.release(request, false);
-			}));
+		this.instances
+			.forEach((instance) -> Stream.concat(instance.running.stream(), instance.waiting.values().stream())
+				.filter((request) -> this.nowMillis >= request.deadlineMillis())
+				.toList()
+				.forEach((request) -> {
+					request.outcome = ModelRequest.Outcome.DEADLINE_EXCEEDED;
+					instance.release(request, false);
+				}));
 	}
 
 	private void refuse(ModelRequest request, long retryAfterMillis) {
@@ -251,9 +255,8 @@
 
 		private Map<String, Load> ownLoads() {
 			Map<String, Load> loads = new HashMap<>();
-			this.running.forEach((request) -> loads.merge(request.engine.id(),
-					new Load(1, request.reservedTokens, (request.firstEventMillis < 0) ? request.kind.promptTokens() : 0),
-					Load::plus));
+			this.running.forEach((request) -> loads.merge(request.engine.id(), new Load(1, request.reservedTokens,
+					(request.firstEventMillis < 0) ? request.kind.promptTokens() : 0), Load::plus));
 			return loads;
 		}
 
@@ -277,8 +280,8 @@
 
 		private AdmissionRequest toAdmission(ModelRequest request) {
 			return new AdmissionRequest(ClusterModel.this.lastId, "s", request.kind.route(), request.workspace,
-					request.priority, request.reservedTokens, request.arrivedMillis, request.kind.targetMillis()
-							- (request.arrivedMillis - request.sentMillis),
+					request.priority, request.reservedTokens, request.arrivedMillis,
+					request.kind.targetMillis() - (request.arrivedMillis - request.sentMillis),
 					request.deadlineMillis());
 		}
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/RequestAdmissionTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/RequestAdmissionTests.java
@@ -249,9 +249,13 @@
 			fillServer();
 			onIoThread(() -> {
 				RequestAdmissionTests.this.entry.peerReservedTokens = Integer.MAX_VALUE;
-				RequestAdmissionTests.this.admission.onPeerDigest(new PeerDigest(null, null,
-						List.of(new WorkspaceDemand("s", "r", "w", Integer.MAX_VALUE, 0, 0, 100, 100, 0, 0)), null),
-						RequestAdmissionTests.this.context.scheduler.nowMillis() - 1_000);
+				RequestAdmissionTests.this.admission
+					.onPeerDigest(
+							new PeerDigest(null, null,
+									List.of(new WorkspaceDemand("s", "r", "w", Integer.MAX_VALUE, 0, 0, 100, 100, 0,
+											0)),
+									null),
+							RequestAdmissionTests.this.context.scheduler.nowMillis() - 1_000);
 			});
 			String response = sendRequest();
 			assertThat(response, startsWith("HTTP/1.1 503"));
