--- a/gateway/src/test/java/org/skylarkspring/gateway/admission/ClusterModel.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/admission/ClusterModel.java
@@ -39,6 +39,9 @@
 
 	private static final long ENGINE_RETRY_AFTER_MILLIS = 300;
 
+	/** Time after the last deadline at which all requests must have ended. */
+	private static final long MARGIN_MILLIS = 1_000;
+
 	private static final int TOKENS_PER_EVENT = 4;
 
 	private final boolean controlled;
@@ -101,7 +104,7 @@
 	}
 
 	private void arriveAt(ModelRequest request, long atMillis) {
-		this.arrivals.computeIfAbsent(atMillis / TICK_MILLIS, (tick) -> new ArrayList<>()).add(request);
+		this.arrivals.computeIfAbsent(Math.max(1, atMillis / TICK_MILLIS), (tick) -> new ArrayList<>()).add(request);
 	}
 
 	/**
@@ -109,7 +112,11 @@
 	 * @return this model
 	 */
 	ClusterModel run() {
+		long endMillis = this.all.stream().mapToLong(ModelRequest::deadlineMillis).max().orElse(0) + MARGIN_MILLIS;
 		while (this.all.stream().anyMatch((request) -> request.outcome == null)) {
+			if (this.nowMillis > endMillis) {
+				throw new AssertionError("requests are lost");
+			}
 			this.nowMillis += TICK_MILLIS;
 			this.engines.forEach((engine) -> engine.runUntil(this.nowMillis).forEach(this::complete));
 			relayEvents();
