--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -52,6 +54,8 @@
 	private AttemptListener attemptListener = (attempt, failed) -> {
 	};
 
+	private Function<ActiveRequest, OptionalLong> retryAfterSource = (request) -> OptionalLong.empty();
+
 	private Consumer<ServerAttempt> cancelListener = (attempt) -> {
 	};
 
@@ -69,6 +73,14 @@
 		this.endListener = listener;
 	}
 
+	/**
+	 * Sets the source of the time after which the caller of a rejected request may retry.
+	 * @param source returns the time in milliseconds, empty for a constant time
+	 */
+	void setRetryAfterSource(Function<ActiveRequest, OptionalLong> source) {
+		this.retryAfterSource = source;
+	}
+
 	/**
 	 * Sets the listener that is told of attempts that are cancelled before their response
 	 * was complete.
@@ -120,7 +132,7 @@
 	 * @param reason reason to log
 	 */
 	void end(ActiveRequest request, RetryDecision decision, String reason) {
-		end(request, decision, reason, RETRY_AFTER_MILLIS);
+		end(request, decision, reason, this.retryAfterSource.apply(request).orElse(RETRY_AFTER_MILLIS));
 	}
 
 	/**
@@ -295,7 +307,6 @@
 		if (attempt.server.attempts.remove(attempt)) {
 			this.context.outstandingBodies.recordEnded(attempt.server.registration, attempt.activeRequest.body.length,
 					this.context.scheduler.nowMillis());
-			attempt.server.reservedTokens -= attempt.activeRequest.reservedTokens;
 			attempt.markPrefillComplete();
 			attempt.releaseReservations();
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
@@ -57,14 +57,13 @@
 				? request.eventOrder.lastDeliveredId() : Optional.empty();
 		long remaining = Math.max(1, request.deadlineMillis - this.context.scheduler.nowMillis());
 		DispatchHead head = new DispatchHead(entry.registration.id(), remaining, request.workspace,
-				enginePriority(request), resumePoint, resumeAfter,
+				enginePriority(request, resumePoint.isPresent()), resumePoint, resumeAfter,
 				backup.map((server) -> server.registration.address()));
 		ServerAttempt attempt = new ServerAttempt(this.context, dispatcher, request, entry, head, backup);
 		entry.attempts.add(attempt);
 		this.context.outstandingBodies.recordSent(entry.registration, request.body.length,
 				this.context.scheduler.nowMillis());
-		entry.reservedTokens += request.reservedTokens;
-		backup.ifPresent((server) -> server.reservedTokens += request.reservedTokens);
+		attempt.changeReservation(request.reservedTokens);
 		attempt.pendingPrefillTokens = resumePoint.isPresent() ? 0 : request.promptTokens();
 		entry.pendingPrefillTokens += attempt.pendingPrefillTokens;
 		return attempt;
@@ -107,11 +106,13 @@
 				entry) : Optional.empty();
 	}
 
-	private OptionalInt enginePriority(ActiveRequest request) {
+	// A generation that was started is not put off again when it continues.
+	private OptionalInt enginePriority(ActiveRequest request, boolean continued) {
 		if (request.service.engine().isEmpty()) {
 			return OptionalInt.empty();
 		}
-		return OptionalInt.of(Math.min(LOWEST_ENGINE_PRIORITY, HIGHEST_ENGINE_PRIORITY + request.priority));
+		int deferral = (request.deferred && !continued) ? 1 : 0;
+		return OptionalInt.of(Math.min(LOWEST_ENGINE_PRIORITY, HIGHEST_ENGINE_PRIORITY + request.priority + deferral));
 	}
 
 }
