--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptSender.java
@@ -57,7 +57,7 @@
 				? request.eventOrder.lastDeliveredId() : Optional.empty();
 		long remaining = Math.max(1, request.deadlineMillis - this.context.scheduler.nowMillis());
 		DispatchHead head = new DispatchHead(entry.registration.id(), remaining, request.workspace,
-				enginePriority(request, resumePoint.isPresent()), resumePoint, resumeAfter,
+				enginePriority(request), resumePoint, resumeAfter,
 				backup.map((server) -> server.registration.address()));
 		ServerAttempt attempt = new ServerAttempt(this.context, dispatcher, request, entry, head, backup);
 		entry.attempts.add(attempt);
@@ -95,12 +95,12 @@
 				entry) : Optional.empty();
 	}
 
-	// A generation that was started is not put off again when it continues.
-	private OptionalInt enginePriority(ActiveRequest request, boolean continued) {
+	// Retries and continuations are not deferred.
+	private OptionalInt enginePriority(ActiveRequest request) {
 		if (request.service.engine().isEmpty()) {
 			return OptionalInt.empty();
 		}
-		int deferral = (request.deferred && !continued) ? 1 : 0;
+		int deferral = (request.deferred && request.sendCount == 0) ? 1 : 0;
 		return OptionalInt.of(Math.min(LOWEST_ENGINE_PRIORITY, HIGHEST_ENGINE_PRIORITY + request.priority + deferral));
 	}
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/admission/OutputLengthsTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/admission/OutputLengthsTests.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.admission;
 
 import java.util.OptionalInt;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 
@@ -26,9 +27,11 @@
 		return new AdmissionRequest(1, "s", route, workspace, 0, 1_400, 0, 4_000, 20_000);
 	}
 
+	// An event holds four tokens, which the callers' estimates show.
 	private void learn(String route, String workspace, int events) {
+		GenerationSize size = new GenerationSize(1_000, 2_000, OptionalInt.of(4 * events));
 		for (int count = 0; count < 40; count++) {
-			OutputLengths.Generation generation = new OutputLengths.Generation(request(route, workspace), SIZE);
+			OutputLengths.Generation generation = new OutputLengths.Generation(request(route, workspace), size);
 			for (int event = 1; event <= events; event++) {
 				this.lengths.recordEvent(generation, event);
 			}
@@ -36,24 +39,38 @@
 		}
 	}
 
+	private long expectedTokens(String route, String workspace) {
+		return this.lengths.expectedTokens(request(route, workspace), SIZE, 0);
+	}
+
 	@Test
 	void estimateOfTheCallerIsUsedUntilLengthsAreKnown() {
-		assertThat(this.lengths.expectedTokens(request("r", "w"), SIZE, 0), is(1_400L));
+		assertThat(expectedTokens("r", "w"), is(1_400L));
 	}
 
-	// The callers' estimates say that an event holds four tokens.
 	@Test
 	void learntLengthIsThatOfTheWorkspaceOnTheRoute() {
-		learn("r", "w", 100);
-		learn("other", "w", 50);
-		assertThat(this.lengths.expectedTokens(request("r", "w"), SIZE, 0), is(1_400L));
+		learn("r", "w", 200);
+		learn("r", "v", 50);
+		learn("other", "w", 25);
+		assertThat(expectedTokens("r", "w"), is(1_800L));
+		assertThat(expectedTokens("r", "v"), is(1_200L));
+		assertThat(expectedTokens("other", "w"), is(1_100L));
 	}
 
 	@Test
 	void unknownWorkspaceGetsTheLengthOfTheRoute() {
-		learn("r", "w", 100);
-		assertThat(this.lengths.expectedTokens(request("r", "new"), new GenerationSize(1_000, 2_000, OptionalInt.of(5)),
-				0), is(1_400L));
+		learn("r", "w", 200);
+		assertThat(expectedTokens("r", "new"), is(1_800L));
+	}
+
+	// A learnt length must not exceed what the request allows.
+	@Test
+	void learntLengthIsLimitedByTheRequest() {
+		learn("r", "w", 200);
+		assertThat(
+				this.lengths.expectedTokens(request("r", "w"), new GenerationSize(1_000, 50, OptionalInt.empty()), 0),
+				is(1_050L));
 	}
 
 	// Guards against a reservation that a generation has outgrown.
@@ -76,7 +93,7 @@
 			this.lengths.recordEnd(generation, 0);
 		}
 		assertThat(this.lengths.estimatorCount(), lessThanOrEqualTo(257));
-		assertThat(this.demand.own(java.util.stream.Stream.empty(), 0).size(), lessThanOrEqualTo(512));
+		assertThat(this.demand.own(Stream.empty(), 0).size(), lessThanOrEqualTo(512));
 	}
 
 }
