--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -101,15 +101,19 @@
 					.findFirst());
 	}
 
-	// Servers to which there is an objection of a preference are used last.
+	// Servers to which there is an objection of a preference are used last. Servers that
+	// have failed recently are not preferred to them.
 	private Optional<ServerEntry> selectPreferred(PlacementRequest request, Optional<ServerEntry> source,
 			Function<Predicate<ServerEntry>, Optional<ServerEntry>> selection) {
 		long now = this.context.scheduler.nowMillis();
-		Predicate<ServerEntry> preferred = (entry) -> isAllowed(toUse(request, entry, source), now,
+		Predicate<ServerEntry> acceptable = (entry) -> isAllowed(toUse(request, entry, source), now,
 				ServerGate::isPreference);
-		Optional<ServerEntry> selected = selection.apply(preferred);
-		boolean allPreferred = selected.isPresent() || usableServers(request.service()).allMatch(preferred);
-		return allPreferred ? selected : selection.apply((entry) -> true);
+		Predicate<ServerEntry> any = (entry) -> true;
+		if (usableServers(request.service()).allMatch(acceptable)) {
+			return selection.apply(any);
+		}
+		return selection.apply((entry) -> acceptable.test(entry) && !entry.isEjected(now))
+			.or(() -> selection.apply(any));
 	}
 
 	/**
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerSelectorPreferenceTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerSelectorPreferenceTests.java
@@ -114,6 +114,13 @@
 		assertSelected("a");
 	}
 
+	@Test
+	void serverThatFailedRecentlyIsNotPreferred() {
+		this.disliked.add("a");
+		this.servers.find("b").orElseThrow().recordConnectionFailure(System.nanoTime() / 1_000_000);
+		assertSelected("a");
+	}
+
 	@Test
 	void requiredConditionIsNeverGivenUp() {
 		this.disliked.addAll(Set.of("a", "b"));
