--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/RequestAdmissionTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/RequestAdmissionTests.java
@@ -228,6 +228,25 @@
 			response.join();
 		}
 
+		// Guards against memory that stays reserved on a server for ever.
+		@Test
+		void correctedReservationIsReleasedCompletely() throws Exception {
+			CompletableFuture<String> response = sendInBackground();
+			Socket connection = acceptRequest();
+			onIoThread(() -> {
+				ServerEntry server = RequestAdmissionTests.this.entry;
+				assertThat(server.reservedTokens, is(400L));
+				server.attempts.forEach((attempt) -> attempt.changeReservation(700));
+				assertThat(server.reservedTokens, is(700L));
+			});
+			connection.close();
+			response.join();
+			onIoThread(() -> {
+				assertThat(RequestAdmissionTests.this.entry.reservedTokens, is(0L));
+				assertThat(RequestAdmissionTests.this.admission.runningCount(), is(0));
+			});
+		}
+
 		@Test
 		void retryIsNotHeldByFullServer() throws Exception {
 			RequestAdmissionTests.this.semantics = RequestSemantics.IDEMPOTENT;
