--- a/gateway/src/main/java/org/skylarkspring/gateway/model/RoutingTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/model/RoutingTable.java
@@ -49,7 +49,9 @@
 		this.workspacesByApiKey = Map.copyOf(workspacesByApiKey);
 		this.apiKeyRequired = apiKeyRequired;
 		this.callerLimits = callerLimits;
+		// A target that is not below the timeout was not stated or has no effect.
 		this.longestTargetLatencyMillis = routes.stream()
+			.filter((route) -> route.targetLatencyMillis() < route.timeoutMillis())
 			.flatMap((route) -> route.services()
 				.stream()
 				.map((target) -> Map.entry(target.service(), route.targetLatencyMillis())))
@@ -91,7 +93,8 @@
 	/**
 	 * Returns the longest target latency of the routes to a service.
 	 * @param service name of the service
-	 * @return the target latency in milliseconds, 0 if no route has the service
+	 * @return the target latency in milliseconds, 0 if no route to the service has a
+	 * target below its timeout
 	 */
 	public long longestTargetLatencyMillis(String service) {
 		return this.longestTargetLatencyMillis.getOrDefault(service, 0L);
