Let generations survive any number of refused copies

Cause: a generation returned to its source once (GenerationMigration.mayReturn), and the second refusal ended it. The migration after a return selected its target before the refusing server was excluded. A request that was sent again on a second connection had lost its migration, so that a reset of that one ended the stream ("Connection reset by peer"). The notice time started anew with the migration after a return.

Connections are open for 20 ms (100 ms after a reset) before a server is asked or the source is stopped, so that a server that resets them at once is known not to have got the request.

Ruled out: a copy from the stopped source to another target (copy calls name a running generation), another target before the return (it holds no copy), and going on elsewhere after a request that was sent and reset (it may have run; still ends the stream).

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequest.java
@@ -161,6 +161,16 @@
 		return allowed;
 	}
 
+	/**
+	 * Returns whether a connection to a server was not established in time, or was closed
+	 * before the request was written to it.
+	 * @param serverId id of the server
+	 * @return {@code true} if the server has received nothing on that connection
+	 */
+	boolean hasNotReached(String serverId) {
+		return this.unreachedServers.contains(serverId);
+	}
+
 	long promptTokens() {
 		return this.head.generationSize().map(GenerationSize::promptTokens).orElse(0);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationHandover.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationHandover.java
@@ -14,6 +14,13 @@
  */
 final class GenerationHandover {
 
+	/**
+	 * Time for which the connection to the target is kept open before the source that
+	 * still runs is ordered to stop. A server that resets connections as soon as it
+	 * accepts them shows it within this time, so that another target can be used.
+	 */
+	private static final long CONNECTION_CHECK_MILLIS = 20;
+
 	/** Delay before a target whose connection was lost is connected again. */
 	private static final long RECONNECT_DELAY_MILLIS = 20;
 
@@ -76,6 +83,20 @@
 		GenerationMigration migration = request.migration;
 		if (migration.release != null) {
 			askIfReleased(request, migration);
+		}
+		else if (request.attempt == migration.source) {
+			this.context.scheduler.schedule(CONNECTION_CHECK_MILLIS, () -> startRelease(successor, migration));
+		}
+		else {
+			startRelease(successor, migration);
+		}
+	}
+
+	private void startRelease(ServerAttempt successor, GenerationMigration migration) {
+		ActiveRequest request = successor.activeRequest;
+		boolean wanted = !request.finished && request.migration == migration && request.successor == successor
+				&& migration.release == null;
+		if (!wanted) {
 			return;
 		}
 		migration.stage = GenerationMigration.Stage.RELEASING;
@@ -153,6 +174,9 @@
 	void onSourceLost(ActiveRequest request, boolean endedByServer) {
 		GenerationMigration migration = request.migration;
 		if (migration.release == null) {
+			if (request.successor != null && request.successor.isWaiting()) {
+				startRelease(request.successor, migration);
+			}
 			return;
 		}
 		if (endedByServer) {
@@ -201,7 +225,7 @@
 				Map.of("source", migration.source.server.registration.id(), "target",
 						migration.target.registration.id(), "release-millis", now - migration.releaseStartedMillis,
 						"last-event", request.eventOrder.lastDeliveredId().orElse(""), "millis-since-notice",
-						now - migration.startedMillis, "millis-since-event",
+						now - migration.noticeMillis, "millis-since-event",
 						(request.lastEventMillis < 0) ? -1 : now - request.lastEventMillis));
 		this.context.metrics.recordDecision("generation carried over");
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigration.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationMigration.java
@@ -1,6 +1,7 @@
 package org.skylarkspring.gateway.internal;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 import org.skylarkspring.gateway.model.GenerationResumePoint;
@@ -15,7 +16,11 @@
 
 	final ServerAttempt source;
 
-	final long startedMillis;
+	/**
+	 * Time of the notice of the source. A generation that has returned to its source
+	 * keeps the time of the first migration.
+	 */
+	final long noticeMillis;
 
 	/** Release of the generation by its source, {@code null} until it is ordered. */
 	GenerationRelease release;
@@ -39,8 +44,17 @@
 	/** Whether the source has stopped as ordered and kept the KV cache. */
 	boolean stoppedByOrder;
 
-	/** Whether the generation may return to its source, which it does at most once. */
-	boolean mayReturn = true;
+	/** Whether the target was asked with the copy that the source made last. */
+	boolean finalCopyTried;
+
+	/** Whether the source, and not the target, has not taken the generation last. */
+	boolean refusedBySource;
+
+	/** Number of times that the source has not taken the generation back. */
+	int sourceRefusals;
+
+	/** Number of times that the generation was not taken, also before it returned. */
+	int refusals;
 
 	/** How the generation goes on after the target has not taken it. */
 	Fallback fallback = Fallback.NONE;
@@ -55,7 +69,20 @@
 
 	GenerationMigration(ServerAttempt source, long nowMillis) {
 		this.source = source;
-		this.startedMillis = nowMillis;
+		Optional<GenerationMigration> former = findFormer(source);
+		this.noticeMillis = former.map((migration) -> migration.noticeMillis).orElse(nowMillis);
+		former.ifPresent(this::continueFrom);
+	}
+
+	// The migration after which the generation has returned to its source.
+	private static Optional<GenerationMigration> findFormer(ServerAttempt source) {
+		return Optional.ofNullable(source.origin).filter((origin) -> origin.source.server == source.server);
+	}
+
+	private void continueFrom(GenerationMigration former) {
+		this.refusals = former.refusals;
+		this.rejectedTargetIds.addAll(former.rejectedTargetIds);
+		this.rejectedTargetIds.add(former.target.registration.id());
 	}
 
 	/**
@@ -136,9 +163,12 @@
 		/** The source has not answered the order yet, so that its copy is unknown. */
 		WAITING,
 
-		/** The target was asked again, with the final copy. */
+		/** The target was asked again. */
 		TARGET,
 
+		/** The target or the source is asked again after a delay. */
+		DELAYED,
+
 		/** The generation has returned to its source. */
 		SOURCE
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -18,6 +18,17 @@
  */
 final class RequestDispatcher {
 
+	/**
+	 * Time for which a new connection to a server is kept open before the server is asked
+	 * to continue a generation that another one has not taken. A server that resets
+	 * connections as soon as it accepts them shows it within this time, so that the
+	 * request is known not to have run.
+	 */
+	private static final long CONNECTION_CHECK_MILLIS = 20;
+
+	/** The same for a server that has closed a connection before, or was not reached. */
+	private static final long REPEATED_CONNECTION_CHECK_MILLIS = 100;
+
 	private final GatewayContext context;
 
 	private final ConfigurationPoller configuration;
@@ -196,25 +207,55 @@
 	 * @param entry the server
 	 */
 	private void send(ActiveRequest request, ServerEntry entry) {
-		send(request, entry, Optional.empty());
+		send(request, entry, Optional.empty(), null);
 	}
 
 	// Only the server that keeps a copy of a generation can continue it.
 	private void sendAgain(ServerAttempt unsent) {
 		unsent.dispatchHead.resumePoint()
-			.ifPresent((resumePoint) -> resumeOn(unsent.activeRequest, unsent.server, resumePoint));
+			.ifPresent((resumePoint) -> resumeOn(unsent.activeRequest, unsent.server, resumePoint, unsent.origin));
 	}
 
 	/**
 	 * Handles the connection to a server that is to continue a generation.
-	 * @param successor the attempt on that server
+	 * @param attempt the attempt on that server, which waits
+	 */
+	void onWaitingConnected(ServerAttempt attempt) {
+		if (attempt.isSuccessor()) {
+			this.migrator.handover().onConnected(attempt);
+		}
+		else {
+			this.context.scheduler.schedule(connectionCheckMillis(attempt.activeRequest, attempt.server),
+					() -> sendIfConnected(attempt));
+		}
+	}
+
+	/**
+	 * Returns for how long a new connection is kept open before the server is asked to
+	 * continue a generation that another one has not taken.
+	 * @param request the request
+	 * @param server the server
+	 * @return time in milliseconds
 	 */
-	void onSuccessorConnected(ServerAttempt successor) {
-		this.migrator.handover().onConnected(successor);
+	static long connectionCheckMillis(ActiveRequest request, ServerEntry server) {
+		return request.hasNotReached(server.registration.id()) ? REPEATED_CONNECTION_CHECK_MILLIS
+				: CONNECTION_CHECK_MILLIS;
 	}
 
-	private void send(ActiveRequest request, ServerEntry entry, Optional<GenerationResumePoint> resumePoint) {
+	private void sendIfConnected(ServerAttempt attempt) {
+		ActiveRequest request = attempt.activeRequest;
+		if (request.attempt == attempt && attempt.isWaiting()) {
+			request.possibleExecutions++;
+			attempt.dispatchHead.resumePoint()
+				.ifPresent((resumePoint) -> attempt.resumeFrom(resumePoint,
+						Math.max(1, request.deadlineMillis - this.context.scheduler.nowMillis())));
+		}
+	}
+
+	private void send(ActiveRequest request, ServerEntry entry, Optional<GenerationResumePoint> resumePoint,
+			GenerationMigration origin) {
 		ServerAttempt attempt = this.attemptSender.createAttempt(this, request, entry, resumePoint);
+		attempt.origin = origin;
 		request.attempt = attempt;
 		startResponseTimer(attempt);
 		this.attemptSender.start(attempt);
@@ -225,9 +266,11 @@
 	 * @param request the request
 	 * @param entry the server
 	 * @param resumePoint point from which the generation resumes
+	 * @param origin migration that the attempt continues
 	 */
-	void resumeOn(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint) {
-		endOnException(request, () -> send(request, entry, Optional.of(resumePoint)));
+	void resumeOn(ActiveRequest request, ServerEntry entry, GenerationResumePoint resumePoint,
+			GenerationMigration origin) {
+		endOnException(request, () -> send(request, entry, Optional.of(resumePoint), origin));
 	}
 
 	/**
@@ -261,17 +304,17 @@
 	 * so, counts it as a possible execution of the request.
 	 * @param attempt the attempt
 	 * @return the decision; the attempt waits if the source of its generation has to stop
-	 * first, and is withdrawn if the API key can no longer be verified before the first
-	 * execution, if the server wants no requests for a while, or if the attempt does not
-	 * resume a copied generation and its server is terminating or its data centre is
-	 * evacuated
+	 * first or the connection has to be checked, and is withdrawn if the API key can no
+	 * longer be verified before the first execution, if the server wants no requests for
+	 * a while, or if the attempt does not resume a copied generation and its server is
+	 * terminating or its data centre is evacuated
 	 */
 	HttpClientCall.SendDecision decideSend(ServerAttempt attempt) {
 		this.reachability.recordConnectSuccess(attempt.server.registration.dataCentre());
 		if (!maySend(attempt)) {
 			return HttpClientCall.SendDecision.WITHDRAW;
 		}
-		if (attempt.isSuccessor()) {
+		if (attempt.isSuccessor() || attempt.origin != null) {
 			return HttpClientCall.SendDecision.WAIT;
 		}
 		attempt.activeRequest.possibleExecutions++;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -218,7 +218,7 @@
 
 	/**
 	 * Returns whether the connection is established and the request is sent once the
-	 * source of the generation has released it.
+	 * source of the generation has released it, or the connection has been checked.
 	 * @return {@code true} if {@link #resumeFrom} may be called
 	 */
 	boolean isWaiting() {
@@ -252,7 +252,7 @@
 		this.withdrawn = decision == HttpClientCall.SendDecision.WITHDRAW;
 		this.waiting = decision == HttpClientCall.SendDecision.WAIT;
 		if (this.waiting) {
-			this.dispatcher.onSuccessorConnected(this);
+			this.dispatcher.onWaitingConnected(this);
 		}
 		return decision;
 	}
