--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutTable.java
@@ -102,9 +102,8 @@
 		this.listedEra = era;
 		Set<String> listed = new HashSet<>();
 		rollouts.forEach((rollout) -> listed.add(rollout.name()));
-		// A store that returns from a copy may lack an entry or have an older state of
-		// it.
-		// The end of a rollout stays in force; a test needs an entry.
+		// A store that returns from a copy may lack an entry. The end of a rollout stays
+		// in force then, a test does not.
 		this.statesByName.values()
 			.removeIf((state) -> !listed.contains(state.rollout().name()) && (sameEra || !state.stage().isFinal()));
 		return rollouts.stream()
