--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RolloutCoordinator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RolloutCoordinator.java
@@ -216,8 +216,9 @@
 	}
 
 	private void remove(String name) {
-		this.table.remove(name);
-		this.context.log.logStateChange("rollout is no longer listed", Map.of("rollout", name));
+		if (this.table.remove(name)) {
+			this.context.log.logStateChange("rollout is no longer listed", Map.of("rollout", name));
+		}
 	}
 
 	private Optional<Rollout> decode(StoredObject object) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutTable.java
@@ -148,9 +148,10 @@
 	/**
 	 * Removes an entry that was deleted or has become malformed.
 	 * @param name name of the entry
+	 * @return whether it was known
 	 */
-	public void remove(String name) {
-		this.statesByName.remove(name);
+	public boolean remove(String name) {
+		return this.statesByName.remove(name) != null;
 	}
 
 	/**
