Move what keeps paces, memory and reachability out of gateway/internal

ServerPace(s), ServerWork and ServicePaces form the package pace; HeapSampler, BufferedBytes and ResponseMemory belong to pressure, DataCentreReachabilityTracker to placement, ServiceResponseTimes to policy and HopByHopHeaders to http. No behaviour changes.

--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/HopByHopHeaders.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HopByHopHeaders.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.http;
 
 import java.util.List;
 import java.util.Locale;
@@ -11,7 +11,7 @@
 /**
  * HTTP headers that apply to a single connection and must not be forwarded.
  */
-final class HopByHopHeaders {
+public final class HopByHopHeaders {
 
 	private static final List<HttpString> HOP_BY_HOP_HEADERS = List.of(Headers.CONNECTION, new HttpString("Keep-Alive"),
 			new HttpString("Proxy-Connection"), Headers.TE, Headers.TRAILER, Headers.TRANSFER_ENCODING, Headers.UPGRADE,
@@ -25,7 +25,7 @@
 	 * header.
 	 * @param headers the headers to modify
 	 */
-	static void removeFrom(HeaderMap headers) {
+	public static void removeFrom(HeaderMap headers) {
 		HeaderValues named = headers.get(Headers.CONNECTION);
 		if (named != null) {
 			List.copyOf(named)
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ActiveRequestRegistry.java
@@ -15,6 +15,8 @@
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.DeadlineCounts;
 import org.skylarkspring.gateway.policy.RetryDecision;
+import org.skylarkspring.gateway.pressure.BufferedBytes;
+import org.skylarkspring.gateway.pressure.ResponseMemory;
 
 /**
  * Registry of the requests that are being served. Also ends requests that got no complete
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -6,7 +6,9 @@
 
 import org.skylarkspring.gateway.http.DeliveryStatus;
 import org.skylarkspring.gateway.http.HttpClientCall;
+import org.skylarkspring.gateway.placement.DataCentreReachabilityTracker;
 import org.skylarkspring.gateway.policy.RetryDecision;
+import org.skylarkspring.gateway.policy.ServiceResponseTimes;
 
 /**
  * Handles the outcome of each attempt: the response is passed on, or the request is
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerResponseWriter.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CallerResponseWriter.java
@@ -13,6 +13,8 @@
 import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 
+import org.skylarkspring.gateway.pressure.ResponseMemory;
+
 /**
  * Writes the response to a caller in parts. If a response cannot be completed, its
  * connection is closed before the last chunk or, where the caller does not know chunks,
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayContext.java
@@ -8,7 +8,7 @@
 import org.skylarkspring.gateway.GatewaySettings;
 import org.skylarkspring.gateway.http.HttpConnector;
 import org.skylarkspring.gateway.http.HttpTextClient;
-import org.skylarkspring.gateway.placement.ServerPaces;
+import org.skylarkspring.gateway.pace.ServerPaces;
 import org.skylarkspring.gateway.port.CallerProtocol;
 import org.skylarkspring.gateway.port.ServerProtocol;
 import org.skylarkspring.gateway.pressure.OutstandingBodies;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayRuntime.java
@@ -21,6 +21,7 @@
 import org.skylarkspring.gateway.GatewaySettings;
 import org.skylarkspring.gateway.http.HttpTextClient;
 import org.skylarkspring.gateway.model.ObjectKind;
+import org.skylarkspring.gateway.placement.DataCentreReachabilityTracker;
 import org.skylarkspring.gateway.placement.PlacementCostFunctions;
 import org.skylarkspring.gateway.policy.ClusterMember;
 import org.skylarkspring.gateway.port.CallerProtocol;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/IngressHandler.java
@@ -17,6 +17,7 @@
 import io.undertow.util.SameThreadExecutor;
 import org.xnio.IoUtils;
 
+import org.skylarkspring.gateway.http.HopByHopHeaders;
 import org.skylarkspring.gateway.model.CallerLimits;
 import org.skylarkspring.gateway.model.RequestHead;
 import org.skylarkspring.gateway.model.RouteSpec;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/InstanceMemory.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/InstanceMemory.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 
+import org.skylarkspring.gateway.pressure.HeapSampler;
 import org.skylarkspring.gateway.pressure.MemoryDecision;
 import org.skylarkspring.gateway.pressure.MemoryPressure;
 import org.skylarkspring.gateway.pressure.MemorySample;
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerRequestBodies.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/PeerRequestBodies.java
@@ -8,6 +8,8 @@
 import io.undertow.util.SameThreadExecutor;
 import org.xnio.IoUtils;
 
+import org.skylarkspring.gateway.pressure.BufferedBytes;
+
 /**
  * Reads the bodies of requests from other instances, within limits.
  */
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedHeads.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RelayedHeads.java
@@ -6,6 +6,8 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 
+import org.skylarkspring.gateway.http.HopByHopHeaders;
+
 /**
  * Makes the head of a request to a server from the one received from the caller, and the
  * head of a response to the caller from the one received from the server.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestBody.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestBody.java
@@ -1,5 +1,7 @@
 package org.skylarkspring.gateway.internal;
 
+import org.skylarkspring.gateway.pressure.BufferedBytes;
+
 /**
  * Result of reading the body of a request.
  */
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestBodyReader.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestBodyReader.java
@@ -10,6 +10,8 @@
 import org.xnio.ChannelListener;
 import org.xnio.channels.StreamSourceChannel;
 
+import org.skylarkspring.gateway.pressure.BufferedBytes;
+
 /**
  * Reads the complete body of a request into memory, within limits. Stops reading as soon
  * as a limit is exceeded, because a body may be endless; the exchange then has to be
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestDispatcher.java
@@ -9,9 +9,12 @@
 import org.skylarkspring.gateway.model.GenerationResumePoint;
 import org.skylarkspring.gateway.model.RouteSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.placement.DataCentreReachabilityTracker;
 import org.skylarkspring.gateway.placement.PlacementRequest;
 import org.skylarkspring.gateway.policy.AttemptTimeouts;
 import org.skylarkspring.gateway.policy.RetryDecision;
+import org.skylarkspring.gateway.policy.ServiceResponseTimes;
+import org.skylarkspring.gateway.pressure.ResponseMemory;
 
 /**
  * Dispatches requests to servers: selects a server, sends the request to it and to
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestRejector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RequestRejector.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange;
 
 import org.skylarkspring.gateway.model.RoutingTable;
+import org.skylarkspring.gateway.pressure.BufferedBytes;
 
 /**
  * Answers requests that are not dispatched to a server.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseBuffer.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseBuffer.java
@@ -6,6 +6,7 @@
 
 import org.skylarkspring.gateway.policy.SseEvent;
 import org.skylarkspring.gateway.policy.SseEventSplitter;
+import org.skylarkspring.gateway.pressure.ResponseMemory;
 
 /**
  * Part of a server's response that is not relayed yet: the beginning of a body or of an
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -16,8 +16,10 @@
 import org.skylarkspring.gateway.admission.ServiceRoom;
 import org.skylarkspring.gateway.model.EngineSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.pace.ServicePaces;
 import org.skylarkspring.gateway.placement.Crossing;
 import org.skylarkspring.gateway.placement.DataCentreFlow;
+import org.skylarkspring.gateway.placement.DataCentreReachabilityTracker;
 import org.skylarkspring.gateway.placement.DataCentreTraffic;
 import org.skylarkspring.gateway.placement.PlacementCandidate;
 import org.skylarkspring.gateway.placement.PlacementCostFunction;
@@ -25,7 +27,6 @@
 import org.skylarkspring.gateway.placement.ServerGate;
 import org.skylarkspring.gateway.placement.ServerUse;
 import org.skylarkspring.gateway.placement.ServiceConditions;
-import org.skylarkspring.gateway.placement.ServicePaces;
 
 /**
  * Selects servers for requests and for copies of generations.
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerPace.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pace/ServerPace.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.gateway.placement;
+package org.skylarkspring.gateway.pace;
 
 /**
  * How long work takes on one server, compared with a server of the usual pace.
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerWork.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pace/ServerWork.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.gateway.placement;
+package org.skylarkspring.gateway.pace;
 
 import org.skylarkspring.gateway.peer.DigestEntry;
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServicePaces.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pace/ServicePaces.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.gateway.placement;
+package org.skylarkspring.gateway.pace;
 
 import java.util.Map;
 import java.util.OptionalDouble;
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pace/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How long work takes on each backend server, from the observations of all instances.
+ */
+package org.skylarkspring.gateway.pace;
--- a/gateway/src/main/java/org/skylarkspring/gateway/peer/PeerDigest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/peer/PeerDigest.java
@@ -7,8 +7,8 @@
 import java.util.stream.Stream;
 
 import org.skylarkspring.gateway.admission.WorkspaceDemand;
+import org.skylarkspring.gateway.pace.ServerWork;
 import org.skylarkspring.gateway.placement.DataCentreFlow;
-import org.skylarkspring.gateway.placement.ServerWork;
 import org.skylarkspring.gateway.pressure.ServerBodies;
 import org.skylarkspring.gateway.rollout.VersionOutcomes;
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/DataCentreReachabilityTracker.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/DataCentreReachabilityTracker.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.placement;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -7,7 +7,7 @@
  * Tracks data centres that cannot be reached, so that the gateway does not run into a
  * connect timeout for each of their servers.
  */
-final class DataCentreReachabilityTracker {
+public final class DataCentreReachabilityTracker {
 
 	/** Time after the last connect timeout before the data centre is tried again. */
 	private static final long UNREACHABLE_DURATION_MILLIS = 1_500;
@@ -16,7 +16,7 @@
 
 	private final Map<String, Long> lastSuccessMillis = new HashMap<>();
 
-	void recordConnectSuccess(String dataCentre, long nowMillis) {
+	public void recordConnectSuccess(String dataCentre, long nowMillis) {
 		this.unreachableUntilMillis.remove(dataCentre);
 		this.lastSuccessMillis.put(dataCentre, nowMillis);
 	}
@@ -27,16 +27,16 @@
 	 * @param nowMillis current time in milliseconds
 	 * @return the time in milliseconds, -1 if none ever was
 	 */
-	long millisSinceSuccess(String dataCentre, long nowMillis) {
+	public long millisSinceSuccess(String dataCentre, long nowMillis) {
 		Long last = this.lastSuccessMillis.get(dataCentre);
 		return (last != null) ? nowMillis - last : -1;
 	}
 
-	void recordConnectTimeout(String dataCentre, long nowMillis) {
+	public void recordConnectTimeout(String dataCentre, long nowMillis) {
 		this.unreachableUntilMillis.put(dataCentre, nowMillis + UNREACHABLE_DURATION_MILLIS);
 	}
 
-	boolean isUnreachable(String dataCentre, long nowMillis) {
+	public boolean isUnreachable(String dataCentre, long nowMillis) {
 		return nowMillis < this.unreachableUntilMillis.getOrDefault(dataCentre, Long.MIN_VALUE);
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/PaceAwareCost.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/PaceAwareCost.java
@@ -1,5 +1,8 @@
 package org.skylarkspring.gateway.placement;
 
+import org.skylarkspring.gateway.pace.ServerPace;
+import org.skylarkspring.gateway.pace.ServicePaces;
+
 /**
  * Placement cost for services whose servers differ in pace. Answers a load of long and
  * short generations on servers of which some work several times as fast as others: a long
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/PlacementCostFunction.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/PlacementCostFunction.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import org.skylarkspring.gateway.pace.ServicePaces;
+
 /**
  * Cost of placing a request on a server; the server with the lowest cost is preferred.
  */
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServiceConditions.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/ServiceConditions.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.skylarkspring.gateway.pace.ServicePaces;
+
 /**
  * What is known of the servers of a service beyond their load, at the time of a
  * selection.
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServiceResponseTimes.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/policy/ServiceResponseTimes.java
@@ -1,22 +1,20 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.policy;
 
 import java.util.HashMap;
 import java.util.Map;
 
-import org.skylarkspring.gateway.policy.ResponseTimeEstimator;
-
 /**
  * Usual response time of each service, as observed by this instance.
  */
-final class ServiceResponseTimes {
+public final class ServiceResponseTimes {
 
 	private final Map<String, ResponseTimeEstimator> estimators = new HashMap<>();
 
-	void record(String service, long millis) {
+	public void record(String service, long millis) {
 		estimator(service).record(millis);
 	}
 
-	double usualMillis(String service) {
+	public double usualMillis(String service) {
 		return estimator(service).usualMillis();
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/BufferedBytes.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pressure/BufferedBytes.java
@@ -1,15 +1,15 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.pressure;
 
 /**
  * Counts the bytes of request bodies held in memory and limits their sum.
  */
-final class BufferedBytes {
+public final class BufferedBytes {
 
 	private final long maximumBytes;
 
 	private long heldBytes;
 
-	BufferedBytes(long maximumBytes) {
+	public BufferedBytes(long maximumBytes) {
 		this.maximumBytes = maximumBytes;
 	}
 
@@ -18,7 +18,7 @@
 	 * @param bytes number of bytes
 	 * @return whether the bytes may be held; if so, they have to be released later
 	 */
-	boolean tryReserve(long bytes) {
+	public boolean tryReserve(long bytes) {
 		if (!hasRoomFor(bytes)) {
 			return false;
 		}
@@ -26,15 +26,15 @@
 		return true;
 	}
 
-	boolean hasRoomFor(long bytes) {
+	public boolean hasRoomFor(long bytes) {
 		return this.heldBytes + bytes <= this.maximumBytes;
 	}
 
-	void release(long bytes) {
+	public void release(long bytes) {
 		this.heldBytes -= bytes;
 	}
 
-	long heldBytes() {
+	public long heldBytes() {
 		return this.heldBytes;
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/HeapSampler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pressure/HeapSampler.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.pressure;
 
 import java.lang.management.BufferPoolMXBean;
 import java.lang.management.ManagementFactory;
@@ -7,14 +7,12 @@
 import java.lang.management.MemoryUsage;
 import java.util.Optional;
 
-import org.skylarkspring.gateway.pressure.MemorySample;
-
 /**
  * Estimates which part of the heap a collection cannot free: what was left in the old
  * generation by its last collection, and the bodies and responses held in addition since.
  * The heap in use says little, because it includes garbage until the heap is full.
  */
-final class HeapSampler {
+public final class HeapSampler {
 
 	/** Share of the heap in use, garbage included, below which nothing is examined. */
 	private static final double EXAMINED_HEAP_SHARE = 0.6;
@@ -46,7 +44,7 @@
 	 * Creates a sampler.
 	 * @param processLimitBytes memory above which the process is killed, 0 if unknown
 	 */
-	HeapSampler(long processLimitBytes) {
+	public HeapSampler(long processLimitBytes) {
 		this.processLimitBytes = processLimitBytes;
 		double heapShare = EXAMINED_HEAP_SHARE * this.heapLimitBytes;
 		this.examinedBytes = (processLimitBytes == 0) ? heapShare
@@ -60,7 +58,7 @@
 	 * @param nowMillis current time in milliseconds
 	 * @return the sample
 	 */
-	MemorySample sample(long bodyBytes, long responseBytes, long nowMillis) {
+	public MemorySample sample(long bodyBytes, long responseBytes, long nowMillis) {
 		Runtime runtime = Runtime.getRuntime();
 		long inUse = runtime.totalMemory() - runtime.freeMemory();
 		if (inUse < this.examinedBytes || findOldGeneration().isEmpty()) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ResponseMemory.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pressure/ResponseMemory.java
@@ -1,11 +1,11 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.pressure;
 
 /**
  * Limits the bytes of responses held in memory. The limit of each response shrinks with
  * the free memory, so that those that begin late still get a part, and the sum stays
  * within the limit however many there are.
  */
-final class ResponseMemory {
+public final class ResponseMemory {
 
 	/** Memory that all responses share, a quarter of the smallest heap in use. */
 	private static final long SHARED_BYTES = 24L * 1024 * 1024;
@@ -17,10 +17,10 @@
 	private static final int SLOW_CALLER_PARTS = 16;
 
 	/** Maximum number of bytes of one response while there are few. */
-	static final int MAXIMUM_RESPONSE_BYTES = 64 * 1024;
+	public static final int MAXIMUM_RESPONSE_BYTES = 64 * 1024;
 
 	/** Number of bytes that a response may hold even if no memory is free. */
-	static final int MINIMUM_RESPONSE_BYTES = 4 * 1024;
+	public static final int MINIMUM_RESPONSE_BYTES = 4 * 1024;
 
 	private long heldBytes;
 
@@ -31,7 +31,7 @@
 	 * is left to other responses.
 	 * @return number of bytes, at least {@link #maximumResponseBytes()}
 	 */
-	int maximumPendingBytes() {
+	public int maximumPendingBytes() {
 		long part = (SHARED_BYTES / 2 - this.heldBytes) / SLOW_CALLER_PARTS;
 		return (int) Math.max(maximumResponseBytes(), part);
 	}
@@ -42,12 +42,12 @@
 	 * them.
 	 * @return number of bytes
 	 */
-	int maximumResponseBytes() {
+	public int maximumResponseBytes() {
 		long part = (SHARED_BYTES - this.heldBytes) / PARTS;
 		return (int) Math.max(MINIMUM_RESPONSE_BYTES, Math.min(MAXIMUM_RESPONSE_BYTES, part));
 	}
 
-	long heldBytes() {
+	public long heldBytes() {
 		return this.heldBytes;
 	}
 
@@ -55,14 +55,14 @@
 	 * Starts to count the bytes held in one place.
 	 * @return the count, initially zero
 	 */
-	Share openShare() {
+	public Share openShare() {
 		return new Share();
 	}
 
 	/**
 	 * Bytes held in one place.
 	 */
-	final class Share {
+	public final class Share {
 
 		private int bytes;
 
@@ -72,7 +72,7 @@
 		 * Sets the number of bytes. Has no effect after {@link #close()}.
 		 * @param held number of bytes held now
 		 */
-		void set(int held) {
+		public void set(int held) {
 			if (!this.closed) {
 				ResponseMemory.this.heldBytes += held - this.bytes;
 				this.bytes = held;
@@ -80,7 +80,7 @@
 		}
 
 		/** Releases the bytes. */
-		void close() {
+		public void close() {
 			set(0);
 			this.closed = true;
 		}
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/CallerResponseWriterTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/CallerResponseWriterTests.java
@@ -23,6 +23,8 @@
 import org.xnio.conduits.AbstractStreamSinkConduit;
 import org.xnio.conduits.StreamSinkConduit;
 
+import org.skylarkspring.gateway.pressure.ResponseMemory;
+
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/RequestDispatcherTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/RequestDispatcherTests.java
@@ -16,6 +16,7 @@
 import org.skylarkspring.gateway.model.GenerationSize;
 import org.skylarkspring.gateway.model.RequestHead;
 import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.placement.DataCentreReachabilityTracker;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerDispatcherTestBase.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerDispatcherTestBase.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach;
 
 import org.skylarkspring.gateway.model.ServerRegistration;
+import org.skylarkspring.gateway.placement.DataCentreReachabilityTracker;
 import org.skylarkspring.gateway.placement.PlacementCostFunctions;
 import org.skylarkspring.gateway.policy.ClusterMember;
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerSelectorPreferenceTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/internal/ServerSelectorPreferenceTests.java
@@ -19,6 +19,7 @@
 import org.skylarkspring.gateway.GatewaySettings;
 import org.skylarkspring.gateway.model.ServerRegistration;
 import org.skylarkspring.gateway.model.ServiceSpec;
+import org.skylarkspring.gateway.placement.DataCentreReachabilityTracker;
 import org.skylarkspring.gateway.placement.PlacementCostFunctions;
 import org.skylarkspring.gateway.placement.PlacementRequest;
 import org.skylarkspring.gateway.placement.ServerGate;
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkspring/gateway/pace/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the paces of backend servers.
+ */
+package org.skylarkspring.gateway.pace;
--- a/gateway/src/test/java/org/skylarkspring/gateway/placement/PaceAwarePlacementTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/placement/PaceAwarePlacementTests.java
@@ -17,6 +17,8 @@
 import org.skylarkspring.gateway.model.RouteSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
 import org.skylarkspring.gateway.model.WeightedService;
+import org.skylarkspring.gateway.pace.ServerPace;
+import org.skylarkspring.gateway.pace.ServicePaces;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/BufferedBytesTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/pressure/BufferedBytesTests.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.pressure;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/HeapSamplerTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/pressure/HeapSamplerTests.java
@@ -1,9 +1,7 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.pressure;
 
 import org.junit.jupiter.api.Test;
 
-import org.skylarkspring.gateway.pressure.MemorySample;
-
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
--- a/gateway/src/test/java/org/skylarkspring/gateway/internal/ResponseMemoryTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/pressure/ResponseMemoryTests.java
@@ -1,4 +1,4 @@
-package org.skylarkspring.gateway.internal;
+package org.skylarkspring.gateway.pressure;
 
 import java.util.ArrayList;
 import java.util.List;
