--- a/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/GatewaySettings.java
@@ -30,7 +30,7 @@
  * to 1.5 times its rate
  * @param cores processor cores the instance may use
  * @param memoryBytes memory above which the process is killed, 0 if unknown
- * @param rollout limits of rollouts, empty if there are none and nothing follows them
+ * @param rollout limits of rollouts; if empty, rollouts are ignored
  */
 public record GatewaySettings(String instanceId, String dataCentre, String callerAddress, String readinessAddress,
 		String metricsAddress, String peerAddress, long revocationMillis, long shutdownGraceMillis, double retryRatio,
@@ -195,7 +195,7 @@
 		}
 
 		/**
-		 * Sets the limits of rollouts, which are followed only then.
+		 * Sets the limits of rollouts. Without them, rollouts are ignored.
 		 * @param bounds the limits
 		 * @return this builder
 		 */
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/AttemptOutcomeHandler.java
@@ -151,7 +151,7 @@
 		else if (!attempt.isWithdrawn()) {
 			attempt.server.recordConnectionFailure(this.context.scheduler.nowMillis());
 		}
-		if (deliveryStatus != DeliveryStatus.NOT_SENT) {
+		if (deliveryStatus != DeliveryStatus.NOT_SENT && !attempt.isCutUnread()) {
 			this.activeRequests.attemptListener().onAttemptEnded(attempt, true);
 		}
 		if (request.finished) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/CrashQuarantine.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/CrashQuarantine.java
@@ -163,8 +163,8 @@
 	private void reportRequestCrash(ServerIncarnation server, List<String> requestKeys) {
 		this.context.outstandingBodies.recordCrash(server, this.context.scheduler.nowMillis()).ifPresent((bound) -> {
 			this.context.metrics.recordDecision("bound of bodies lowered");
-			this.context.log.logStateChange("server crashed holding large bodies, bound of its service lowered",
-					Map.of("server", server.serverId(), "bound-bytes", bound));
+			this.context.log.logStateChange("limit of request bodies per server lowered after a crash",
+					Map.of("server", server.serverId(), "limit-bytes", bound));
 		});
 		if (this.requestCrashes.reportCrash(server, requestKeys)) {
 			applyQuarantines();
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GatewayMetrics.java
@@ -134,7 +134,7 @@
 
 	private final Gauge rolloutSent = Gauge.builder()
 		.name("gateway_rollout_sent")
-		.help("Requests that this instance has sent to the new version during a rollout")
+		.help("Permits that this instance has used for the new version, including sends that were withdrawn")
 		.labelNames("service", "target")
 		.register(this.registry);
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationFallback.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/GenerationFallback.java
@@ -152,12 +152,11 @@
 		return continueAfterDelay(request, migration);
 	}
 
+	// An order that is not answered yet could stop a generation that has returned.
 	private boolean mayReturn(ActiveRequest request, GenerationMigration migration) {
-		return migration.finalAnswer != null && isReturnInTime(request, migration)
-				&& !migration.release.hasUnansweredOrder();
+		return mayReturnLater(request, migration) && !migration.release.hasUnansweredOrder();
 	}
 
-	// An order that is not answered yet could stop a generation that has returned.
 	private boolean mayReturnLater(ActiveRequest request, GenerationMigration migration) {
 		return migration.finalAnswer != null && isReturnInTime(request, migration);
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RolloutCoordinator.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RolloutCoordinator.java
@@ -298,7 +298,7 @@
 
 	private void logStop(RolloutState state, String reason) {
 		this.context.metrics.recordDecision("rollout stopped by this instance");
-		this.context.log.logStateChange("instance stops to use the new version",
+		this.context.log.logStateChange("instance no longer sends requests to the new version",
 				Map.of("rollout", state.rollout().name(), "target", state.rollout().target(), "reason", reason));
 	}
 
@@ -318,11 +318,22 @@
 	private void write(Rollout rollout, RolloutStatus status) {
 		this.store.writeStatus(ObjectKind.ROLLOUTS, rollout.name(), rollout.revision(),
 				this.decoder.encodeRolloutStatus(status), (result) -> {
-					this.context.metrics.recordDecision("rollout status " + result.getClass().getSimpleName());
+					recordWrite(rollout, status, result);
 					this.store.read(ObjectKind.ROLLOUTS, rollout.name(), this::applyRead);
 				});
 	}
 
+	private void recordWrite(Rollout rollout, RolloutStatus status, StoreResult result) {
+		if (result instanceof StoreResult.Written) {
+			this.context.metrics.recordDecision("rollout status written");
+			return;
+		}
+		this.context.metrics.recordDecision(
+				(result instanceof StoreResult.Conflict) ? "rollout status conflict" : "rollout status write failed");
+		this.context.log.logStateChange("rollout status not written",
+				Map.of("rollout", rollout.name(), "stage", status.stage(), "result", String.valueOf(result)));
+	}
+
 	private void applyRead(StoreResult result) {
 		if (result instanceof StoreResult.Listed listed) {
 			listed.objects().forEach((object) -> decode(object).ifPresent(this::apply));
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/RolloutPage.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/RolloutPage.java
@@ -68,7 +68,7 @@
 		fields.put("stage", state.stage().name());
 		fields.put("decidedBy", state.rollout().currentStatus().map(RolloutStatus::decidedBy).orElse(""));
 		fields.put("reason", state.rollout().currentStatus().map(RolloutStatus::reason).orElse(""));
-		fields.put("evidence", state.decide(0, Long.MIN_VALUE / 2).reason());
+		fields.put("evidence", state.evidenceSummary());
 		fields.put("localFault", state.localFault().orElse(""));
 		fields.put("requestsHere", state.budget().requests());
 		fields.put("sentHere", state.budget().sent());
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerSelector.java
@@ -17,13 +17,13 @@
 import org.skylarkspring.gateway.model.EngineSpec;
 import org.skylarkspring.gateway.model.ServiceSpec;
 import org.skylarkspring.gateway.pace.ServicePaces;
-import org.skylarkspring.gateway.placement.Crossing;
 import org.skylarkspring.gateway.placement.DataCentreFlow;
 import org.skylarkspring.gateway.placement.DataCentreReachabilityTracker;
 import org.skylarkspring.gateway.placement.DataCentreTraffic;
 import org.skylarkspring.gateway.placement.PlacementCandidate;
 import org.skylarkspring.gateway.placement.PlacementCostFunction;
 import org.skylarkspring.gateway.placement.PlacementRequest;
+import org.skylarkspring.gateway.placement.RemoteDataCentreState;
 import org.skylarkspring.gateway.placement.ServerGate;
 import org.skylarkspring.gateway.placement.ServerUse;
 import org.skylarkspring.gateway.placement.ServiceConditions;
@@ -285,19 +285,19 @@
 			.toList();
 	}
 
-	private Map<String, Crossing> findCrossings(ServiceSpec service, long now) {
+	private Map<String, RemoteDataCentreState> findRemoteDataCentres(ServiceSpec service, long now) {
 		String home = this.context.settings.dataCentre();
 		long serverTokens = service.engine().map(EngineSpec::kvCapacityTokens).orElse(0L);
-		boolean netImporter = this.traffic.isNetImporter(service.name(), home);
+		boolean netImporter = this.traffic.isNetImporter(service.name(), home, now);
 		return usableServers(service).map((entry) -> entry.registration.dataCentre())
 			.filter((dataCentre) -> !dataCentre.equals(home))
 			.collect(Collectors.groupingBy((dataCentre) -> dataCentre, Collectors.counting()))
 			.entrySet()
 			.stream()
 			.collect(Collectors.toMap(Map.Entry::getKey,
-					(servers) -> new Crossing(
+					(servers) -> new RemoteDataCentreState(
 							this.reachability.millisSinceSuccess(servers.getKey(), now), this.traffic
-								.foreignRoomTokens(service.name(), servers.getKey(), servers.getValue() * serverTokens),
+								.spareTokens(service.name(), servers.getKey(), servers.getValue() * serverTokens, now),
 							netImporter)));
 	}
 
@@ -322,7 +322,7 @@
 
 	private ServiceConditions findConditions(ServiceSpec service, long now) {
 		Optional<ServicePaces> paces = findPaces(service, now);
-		return new ServiceConditions(paces, paces.isPresent() ? findCrossings(service, now) : Map.of());
+		return new ServiceConditions(paces, paces.isPresent() ? findRemoteDataCentres(service, now) : Map.of());
 	}
 
 	private Optional<ServicePaces> findPaces(ServiceSpec service, long now) {
@@ -366,9 +366,10 @@
 	}
 
 	private boolean tryAcquirePermits(ServerUse use, ServerEntry entry, long now) {
+		// Gates come last: their permits cannot be returned if another limit refuses.
 		return this.rateLimits.millisUntilPermit(entry) == 0
-				&& this.gates.stream().allMatch((gate) -> gate.tryAcquire(use, now))
-				&& tryAcquireColdPermit(use.request().service(), entry, now) && this.rateLimits.tryAcquire(entry);
+				&& tryAcquireColdPermit(use.request().service(), entry, now) && this.rateLimits.tryAcquire(entry)
+				&& this.gates.stream().allMatch((gate) -> gate.tryAcquire(use, now));
 	}
 
 	private boolean tryAcquireColdPermit(ServiceSpec service, ServerEntry entry, long now) {
@@ -391,7 +392,7 @@
 				entry.reservedTokens + entry.peerReservedTokens,
 				entry.pendingPrefillTokens + entry.peerPendingPrefillTokens, memory, entry.failureRate(now),
 				entry.isEjected(now), this.reachability.isUnreachable(entry.registration.dataCentre(), now),
-				Optional.ofNullable(conditions.crossings().get(entry.registration.dataCentre())));
+				Optional.ofNullable(conditions.remoteDataCentres().get(entry.registration.dataCentre())));
 	}
 
 	private record RankedServer(ServerEntry server, double cost) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/pace/ServerPaces.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/pace/ServerPaces.java
@@ -11,6 +11,7 @@
 import java.util.function.ToDoubleFunction;
 
 import org.skylarkspring.gateway.peer.DigestParticipant;
+import org.skylarkspring.gateway.peer.ExpiringSums;
 import org.skylarkspring.gateway.peer.PeerDigest;
 
 /**
@@ -41,7 +42,7 @@
 
 	private final Set<String> invalidServers = new HashSet<>();
 
-	private Map<String, ServerWork> peers = Map.of();
+	private final ExpiringSums<Map<String, ServerWork>> peers = new ExpiringSums<>(Map.of());
 
 	/**
 	 * Records a pace that a server reported.
@@ -96,11 +97,11 @@
 		if (total.reports() == 0) {
 			return Optional.empty();
 		}
-		double averageFactor = total.durationPercentSum() / PERCENT / total.reports();
+		double averageDurationFactor = total.durationPercentSum() / PERCENT / total.reports();
 		Map<String, ServerPace> paces = new HashMap<>();
-		works.forEach((id, work) -> paces.put(id, toPace(id, work, averageFactor, nowMillis)));
+		works.forEach((id, work) -> paces.put(id, toPace(id, work, averageDurationFactor, nowMillis)));
 		return Optional
-			.of(new ServicePaces(averageFactor, paces, normalize(works, paces, ServerWork::intervalMillisSum),
+			.of(new ServicePaces(averageDurationFactor, paces, normalize(works, paces, ServerWork::intervalMillisSum),
 					normalize(works, paces, ServerWork::longestPauseMillisSum)));
 	}
 
@@ -117,8 +118,8 @@
 				: OptionalInt.empty();
 	}
 
-	private ServerPace toPace(String serverId, ServerWork work, double averageFactor, long nowMillis) {
-		double usual = (work.durationPercentSum() / PERCENT + AVERAGE_WEIGHT_REPORTS * averageFactor)
+	private ServerPace toPace(String serverId, ServerWork work, double averageDurationFactor, long nowMillis) {
+		double usual = (work.durationPercentSum() / PERCENT + AVERAGE_WEIGHT_REPORTS * averageDurationFactor)
 				/ (work.reports() + AVERAGE_WEIGHT_REPORTS);
 		Entry entry = this.entries.get(serverId);
 		if (entry == null) {
@@ -136,7 +137,7 @@
 		double streams = works.values().stream().mapToDouble(ServerWork::streams).sum();
 		double normalized = works.values()
 			.stream()
-			.mapToDouble((work) -> sum.applyAsDouble(work) / paces.get(work.serverId()).usualFactor())
+			.mapToDouble((work) -> sum.applyAsDouble(work) / paces.get(work.serverId()).averageDurationFactor())
 			.sum();
 		return (streams > 0) ? OptionalDouble.of(normalized / streams) : OptionalDouble.empty();
 	}
@@ -145,7 +146,7 @@
 		ServerWork own = Optional.ofNullable(this.entries.get(serverId))
 			.map((entry) -> entry.sum(nowMillis))
 			.orElse(ServerWork.none(serverId));
-		return Optional.ofNullable(this.peers.get(serverId)).map(own::plus).orElse(own);
+		return Optional.ofNullable(this.peers.current(nowMillis).get(serverId)).map(own::plus).orElse(own);
 	}
 
 	@Override
@@ -161,7 +162,7 @@
 		Optional.ofNullable(digest.serverWork())
 			.orElse(List.of())
 			.forEach((work) -> received.put(work.serverId(), work));
-		this.peers = received;
+		this.peers.set(received, nowMillis);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/peer/PeerDigest.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/peer/PeerDigest.java
@@ -18,10 +18,10 @@
  * number of instances.
  *
  * @param serverWork pace of servers, by server; {@code null} for none
- * @param versionOutcomes outcomes of requests during rollouts, by route and version;
+ * @param versionOutcomes outcomes of requests during rollouts, by window, route and
+ * version; {@code null} for none
+ * @param workspaceDemand capacity used and wanted, by service, route and workspace;
  * {@code null} for none
- * @param workspaceDemand capacity used and wanted, by service and workspace; {@code null}
- * for none
  * @param serverBodies bodies of requests held by servers, by server; {@code null} for
  * none
  * @param dataCentreFlows memory used by data centre of the instances and of the servers;
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/CrossingCost.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/CrossDataCentreCost.java
@@ -5,7 +5,7 @@
  * different times in different data centres, or whose fast servers are not where the
  * demand is: leaving pays when the gain for the caller exceeds this cost.
  */
-final class CrossingCost {
+final class CrossDataCentreCost {
 
 	/** Round trips and the price of the traffic of a small request. */
 	private static final double BASE_COST = 0.08;
@@ -33,21 +33,22 @@
 	 */
 	private static final double EXCHANGE_COST = 0.15;
 
-	private CrossingCost() {
+	private CrossDataCentreCost() {
 	}
 
 	/**
 	 * Returns the cost.
-	 * @param crossing what is known about the way
+	 * @param remoteDataCentre what is known about the way
 	 * @param request the request
 	 * @return the cost in loads of a server
 	 */
-	static double of(Crossing crossing, PlacementRequest request) {
-		double silence = (crossing.millisSinceResponse() < 0) ? 1
-				: Math.min(1, (double) crossing.millisSinceResponse() / SILENCE_MILLIS);
-		boolean room = crossing.foreignRoomTokens() >= request.reservedTokens();
+	static double of(RemoteDataCentreState remoteDataCentre, PlacementRequest request) {
+		double silence = (remoteDataCentre.millisSinceResponse() < 0) ? 1
+				: Math.min(1, (double) remoteDataCentre.millisSinceResponse() / SILENCE_MILLIS);
+		boolean room = remoteDataCentre.spareTokens() >= request.reservedTokens();
 		return BASE_COST + COST_PER_BODY_MEGABYTE * request.bodyBytes() / BYTES_PER_MEGABYTE + DISCONNECTION_COST
-				+ SILENCE_COST * silence + (room ? 0 : NO_ROOM_COST) + (crossing.netImporter() ? EXCHANGE_COST : 0);
+				+ SILENCE_COST * silence + (room ? 0 : NO_ROOM_COST)
+				+ (remoteDataCentre.netImporter() ? EXCHANGE_COST : 0);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/DataCentreReachabilityTracker.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/DataCentreReachabilityTracker.java
@@ -4,8 +4,9 @@
 import java.util.Map;
 
 /**
- * Tracks data centres that cannot be reached, so that the gateway does not run into a
- * connect timeout for each of their servers.
+ * Tracks when connections to each data centre last succeeded, and which ones cannot be
+ * reached, so that the gateway does not run into a connect timeout for each of their
+ * servers.
  */
 public final class DataCentreReachabilityTracker {
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/DataCentreTraffic.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/DataCentreTraffic.java
@@ -6,6 +6,7 @@
 import java.util.stream.Stream;
 
 import org.skylarkspring.gateway.peer.DigestParticipant;
+import org.skylarkspring.gateway.peer.ExpiringSums;
 import org.skylarkspring.gateway.peer.PeerDigest;
 
 /**
@@ -16,7 +17,7 @@
 
 	private final Supplier<List<DataCentreFlow>> ownFlows;
 
-	private List<DataCentreFlow> peerFlows = List.of();
+	private final ExpiringSums<List<DataCentreFlow>> peerFlows = new ExpiringSums<>(List.of());
 
 	/**
 	 * Creates the view.
@@ -33,12 +34,13 @@
 	 * @param service name of the service
 	 * @param dataCentre the data centre
 	 * @param capacityTokens the KV cache memory of the servers there, in tokens
+	 * @param nowMillis current time in milliseconds
 	 * @return the room in tokens, 0 if there is none
 	 */
-	public long foreignRoomTokens(String service, String dataCentre, long capacityTokens) {
+	public long spareTokens(String service, String dataCentre, long capacityTokens, long nowMillis) {
 		long home = tokens(
-				flows().filter((flow) -> flow.isTo(service, dataCentre) && flow.isFrom(service, dataCentre)));
-		return ForeignRoom.tokens(capacityTokens, home, importedTokens(service, dataCentre));
+				flows(nowMillis).filter((flow) -> flow.isTo(service, dataCentre) && flow.isFrom(service, dataCentre)));
+		return SpareCapacity.tokens(capacityTokens, home, importedTokens(service, dataCentre, nowMillis));
 	}
 
 	/**
@@ -46,20 +48,22 @@
 	 * its instances use of theirs.
 	 * @param service name of the service
 	 * @param dataCentre the data centre
+	 * @param nowMillis current time in milliseconds
 	 * @return {@code true} if it takes on more than it gives away
 	 */
-	public boolean isNetImporter(String service, String dataCentre) {
+	public boolean isNetImporter(String service, String dataCentre, long nowMillis) {
 		long exported = tokens(
-				flows().filter((flow) -> flow.isFrom(service, dataCentre) && !flow.isTo(service, dataCentre)));
-		return importedTokens(service, dataCentre) > exported;
+				flows(nowMillis).filter((flow) -> flow.isFrom(service, dataCentre) && !flow.isTo(service, dataCentre)));
+		return importedTokens(service, dataCentre, nowMillis) > exported;
 	}
 
-	private long importedTokens(String service, String dataCentre) {
-		return tokens(flows().filter((flow) -> flow.isTo(service, dataCentre) && !flow.isFrom(service, dataCentre)));
+	private long importedTokens(String service, String dataCentre, long nowMillis) {
+		return tokens(
+				flows(nowMillis).filter((flow) -> flow.isTo(service, dataCentre) && !flow.isFrom(service, dataCentre)));
 	}
 
-	private Stream<DataCentreFlow> flows() {
-		return Stream.concat(this.ownFlows.get().stream(), this.peerFlows.stream());
+	private Stream<DataCentreFlow> flows(long nowMillis) {
+		return Stream.concat(this.ownFlows.get().stream(), this.peerFlows.current(nowMillis).stream());
 	}
 
 	private static long tokens(Stream<DataCentreFlow> flows) {
@@ -74,7 +78,7 @@
 
 	@Override
 	public void onPeerDigest(PeerDigest peers, long nowMillis) {
-		this.peerFlows = Optional.ofNullable(peers.dataCentreFlows()).orElse(List.of());
+		this.peerFlows.set(Optional.ofNullable(peers.dataCentreFlows()).orElse(List.of()), nowMillis);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/PaceAwareCost.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/PaceAwareCost.java
@@ -49,7 +49,7 @@
 	 */
 	static double of(PlacementCandidate candidate, ServicePaces service, PlacementRequest request) {
 		ServerPace pace = service.servers().get(candidate.serverId());
-		double relative = pace.currentFactor() / service.averageFactor();
+		double relative = pace.currentDurationFactor() / service.averageDurationFactor();
 		double queue = (relative - 1) * candidate.runningRequests() / Math.max(1, candidate.slots());
 		return queue + preemption(candidate, request) + pauses(candidate, pace, service, request);
 	}
@@ -68,8 +68,8 @@
 
 	private static double lateShare(ServerPace pace, ServicePaces service, long targetMillis) {
 		double share = service.longestPauseMillis().isPresent()
-				? service.longestPauseMillis().getAsDouble() * pace.usualFactor() / targetMillis
-				: pace.usualFactor() / service.averageFactor();
+				? service.longestPauseMillis().getAsDouble() * pace.averageDurationFactor() / targetMillis
+				: pace.averageDurationFactor() / service.averageDurationFactor();
 		return Math.max(0, Math.min(1, (share - SAFE_PAUSE_SHARE) / (LATE_PAUSE_SHARE - SAFE_PAUSE_SHARE)));
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/PlacementCandidate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/PlacementCandidate.java
@@ -20,10 +20,10 @@
  * @param ejected whether the server failed recently and is not yet due for another
  * attempt
  * @param dataCentreUnreachable whether connections to its data centre failed recently
- * @param crossing what is known about the way there, empty in the same data centre and
- * for services whose servers report no pace
+ * @param remoteDataCentre what is known about the way there, empty in the same data
+ * centre and for services whose servers report no pace
  */
 public record PlacementCandidate(String serverId, boolean sameDataCentre, int runningRequests, int slots,
 		long reservedTokens, long pendingPrefillTokens, long kvCapacityTokens, double failureRate, boolean ejected,
-		boolean dataCentreUnreachable, Optional<Crossing> crossing) {
+		boolean dataCentreUnreachable, Optional<RemoteDataCentreState> remoteDataCentre) {
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/PlacementCostFunctions.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/PlacementCostFunctions.java
@@ -42,9 +42,9 @@
 	public static PlacementCostFunction paceAware() {
 		PlacementCostFunction leastLoaded = leastLoaded();
 		return (candidate, request, paces) -> paces
-			.map((service) -> loadCost(candidate, request.reservedTokens())
-					+ candidate.crossing().map((crossing) -> CrossingCost.of(crossing, request)).orElse(0.0)
-					+ PaceAwareCost.of(candidate, service, request))
+			.map((service) -> loadCost(candidate, request.reservedTokens()) + candidate.remoteDataCentre()
+				.map((remoteDataCentre) -> CrossDataCentreCost.of(remoteDataCentre, request))
+				.orElse(0.0) + PaceAwareCost.of(candidate, service, request))
 			.orElseGet(() -> leastLoaded.cost(candidate, request, paces));
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/Crossing.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/RemoteDataCentreState.java
@@ -5,10 +5,10 @@
  *
  * @param millisSinceResponse time since a server there last accepted a connection of this
  * instance, in milliseconds, -1 if none ever has
- * @param foreignRoomTokens memory there that its own instances do not need and others do
- * not use, in tokens
+ * @param spareTokens memory there that its own instances do not need and others do not
+ * use, in tokens
  * @param netImporter whether other data centres use more of the servers of this
  * instance's data centre than its instances use of theirs
  */
-public record Crossing(long millisSinceResponse, long foreignRoomTokens, boolean netImporter) {
+public record RemoteDataCentreState(long millisSinceResponse, long spareTokens, boolean netImporter) {
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/ServerGate.java
@@ -3,12 +3,14 @@
 import java.util.Optional;
 
 /**
- * Condition that a server must meet to be used, whatever its load.
+ * Rule about which servers a request may use: it excludes servers or, if advisory, uses
+ * them last, and may prefer some.
  */
 public interface ServerGate {
 
 	/**
-	 * Returns why a server must not be used now. Takes no permit.
+	 * Returns why a server must not be used now or, if the rule is advisory, why it is
+	 * used last. Takes no permit.
 	 * @param use the intended use
 	 * @param nowMillis current time in milliseconds
 	 * @return the reason, empty if the server may be used
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ServiceConditions.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/ServiceConditions.java
@@ -10,7 +10,8 @@
  * selection.
  *
  * @param paces paces of the servers, empty if they report none
- * @param crossings the way to each other data centre, empty if the servers report no pace
+ * @param remoteDataCentres the way to each other data centre, empty if the servers report
+ * no pace
  */
-public record ServiceConditions(Optional<ServicePaces> paces, Map<String, Crossing> crossings) {
+public record ServiceConditions(Optional<ServicePaces> paces, Map<String, RemoteDataCentreState> remoteDataCentres) {
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/ForeignRoom.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/SpareCapacity.java
@@ -3,7 +3,7 @@
 /**
  * Divides the memory of a data centre between its own instances and those of others.
  */
-final class ForeignRoom {
+final class SpareCapacity {
 
 	/** Share of the memory above which engines preempt requests. */
 	private static final double USABLE_SHARE = 0.9;
@@ -14,7 +14,7 @@
 	 */
 	private static final double HOME_GROWTH = 1.15;
 
-	private ForeignRoom() {
+	private SpareCapacity() {
 	}
 
 	static long tokens(long capacityTokens, long homeTokens, long importedTokens) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutAnalysis.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutAnalysis.java
@@ -30,7 +30,7 @@
 	private static final double DOUBT_THRESHOLD = 4.5;
 
 	/** Increase of the rate of bad responses that has to be detected. */
-	private static final double DETECTED_INCREASE = 0.1;
+	private static final double DETECTED_RATE_INCREASE = 0.1;
 
 	/** Rate that is expected even if no response of the old servers was bad. */
 	private static final double MINIMUM_RATE = 0.01;
@@ -43,10 +43,10 @@
 	private static final double PRIOR_RESPONSES = 20;
 
 	/**
-	 * Largest increase by one window with few bad responses. One incident, as the crash
-	 * of a server with all that runs on it, is not enough for a verdict.
+	 * Largest ratio of one window with few bad responses. One incident, as the crash of a
+	 * server with all that runs on it, is not enough for a verdict.
 	 */
-	private static final double MAXIMUM_INCREASE = 5;
+	private static final double MAXIMUM_LOG_LIKELIHOOD_RATIO = 5;
 
 	/** Bad responses in a window that are more than one incident. */
 	private static final int MANY_BAD_RESPONSES = 8;
@@ -58,7 +58,7 @@
 	private static final long LOAD_REPORT_MILLIS = 1_200;
 
 	/** Time in which all instances in touch usually learn of a stage. */
-	private static final long SPREAD_MILLIS = 200;
+	private static final long STAGE_PROPAGATION_MILLIS = 200;
 
 	private static final String ALL_ROUTES = "all routes";
 
@@ -102,7 +102,7 @@
 	private static RolloutDecision decideInPromotion(List<RolloutEvidence.Sample> samples, RolloutSchedule schedule,
 			long stageMillis, long runningOnOldServers, long nowMillis) {
 		boolean idle = runningOnOldServers == 0 && nowMillis - stageMillis >= LOAD_REPORT_MILLIS;
-		boolean due = nowMillis >= Math.max(schedule.completionMillis(), stageMillis + SPREAD_MILLIS);
+		boolean due = nowMillis >= Math.max(schedule.completionMillis(), stageMillis + STAGE_PROPAGATION_MILLIS);
 		if (!idle && !due) {
 			return new RolloutDecision.Keep(RolloutStage.PROMOTING,
 					runningOnOldServers + " requests run on old servers");
@@ -139,7 +139,7 @@
 		Map<String, Double> sums = new TreeMap<>();
 		Optional<String> found = Optional.empty();
 		for (RolloutEvidence.Sample sample : samples) {
-			double increase = increase(sample,
+			double increase = logLikelihoodRatio(sample,
 					usualRates.computeIfAbsent(sample.route(), (route) -> usualRate(samples, route)));
 			List.of(sample.route(), ALL_ROUTES)
 				.forEach(
@@ -168,15 +168,15 @@
 		return Math.max(MINIMUM_RATE, (requests == 0) ? 0 : (double) bad / requests);
 	}
 
-	private static double increase(RolloutEvidence.Sample sample, double usualRate) {
+	private static double logLikelihoodRatio(RolloutEvidence.Sample sample, double usualRate) {
 		double rate = (bad(sample.oldVersion()) + PRIOR_RESPONSES * usualRate)
 				/ (sample.oldVersion().requests() + PRIOR_RESPONSES);
 		double expected = Math.min(MAXIMUM_RATE, Math.max(MINIMUM_RATE, rate));
-		double detected = expected + DETECTED_INCREASE;
+		double detected = expected + DETECTED_RATE_INCREASE;
 		long bad = bad(sample.newVersion());
 		long good = sample.newVersion().requests() - bad;
 		double ratio = bad * Math.log(detected / expected) + good * Math.log((1 - detected) / (1 - expected));
-		return (bad < MANY_BAD_RESPONSES) ? Math.min(MAXIMUM_INCREASE, ratio) : ratio;
+		return (bad < MANY_BAD_RESPONSES) ? Math.min(MAXIMUM_LOG_LIKELIHOOD_RATIO, ratio) : ratio;
 	}
 
 	private static long bad(VersionOutcomes outcomes) {
@@ -187,7 +187,7 @@
 		return samples.stream().mapToLong(value::apply).sum();
 	}
 
-	private static String summary(List<RolloutEvidence.Sample> samples) {
+	static String summary(List<RolloutEvidence.Sample> samples) {
 		return String.format(Locale.ROOT, "new %s, old %s", summary(samples, RolloutEvidence.Sample::newVersion),
 				summary(samples, RolloutEvidence.Sample::oldVersion));
 	}
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutGate.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutGate.java
@@ -16,7 +16,7 @@
 	 * Part of the allowed share that may be used once the version is promoted. The rest
 	 * covers requests that arrive between the last write and its arrival at instances.
 	 */
-	private static final double PROMOTION_FRACTION = 0.95;
+	private static final double PROMOTION_BUDGET_FRACTION = 0.95;
 
 	private final RolloutTable table;
 
@@ -109,9 +109,9 @@
 		return switch (state.stage()) {
 			case COMPLETED -> true;
 			case ROLLED_BACK -> false;
-			case PROMOTING -> state.budget().hasRoom(PROMOTION_FRACTION);
-			case TESTING ->
-				state.budget().hasRoomInTest(RolloutSchedule.TEST_FRACTION, state.schedule().elapsedPart(nowMillis));
+			case PROMOTING -> state.budget().hasRoom(PROMOTION_BUDGET_FRACTION);
+			case TESTING -> state.budget()
+				.hasRoomInTest(RolloutSchedule.TEST_BUDGET_FRACTION, state.schedule().elapsedPart(nowMillis));
 		};
 	}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutSchedule.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutSchedule.java
@@ -13,10 +13,10 @@
 	 * Part of the allowed share that is used while the version is tested. The rest covers
 	 * the promotion, in which all requests go to the new version.
 	 */
-	public static final double TEST_FRACTION = 0.4;
+	public static final double TEST_BUDGET_FRACTION = 0.4;
 
 	/** Part of the allowed share that is left for the promotion, less a reserve. */
-	private static final double PROMOTION_FRACTION = 0.5;
+	private static final double PROMOTION_TIME_FRACTION = 0.5;
 
 	/** Part of the promotion that is left for the last write and its spread. */
 	private static final double COMPLETION_FRACTION = 0.5;
@@ -56,7 +56,7 @@
 	}
 
 	private long promotionLengthMillis() {
-		return (long) (PROMOTION_FRACTION * this.exposureShare * this.durationMillis);
+		return (long) (PROMOTION_TIME_FRACTION * this.exposureShare * this.durationMillis);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutState.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutState.java
@@ -95,6 +95,14 @@
 				runningOnOldServers, nowMillis);
 	}
 
+	/**
+	 * Returns the counts of responses of both versions, for operators.
+	 * @return text with the sums over all instances
+	 */
+	public String evidenceSummary() {
+		return RolloutAnalysis.summary(this.evidence.samples());
+	}
+
 	/**
 	 * Stops the use of the new version by this instance until the order is decided.
 	 * @param reason why
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/RolloutTable.java
@@ -223,7 +223,7 @@
 			.filter((candidate) -> state.isTarget(candidate.version()))
 			.toList();
 		long count = Math.max(1,
-				(long) (candidates.size() * RolloutSchedule.TEST_FRACTION * this.bounds.exposureShare()));
+				(long) (candidates.size() * RolloutSchedule.TEST_BUDGET_FRACTION * this.bounds.exposureShare()));
 		return candidates.stream()
 			.sorted(Comparator
 				.comparingLong((candidate) -> RendezvousHash.score(state.rollout().name(), candidate.id())))
--- a/gateway/src/main/java/org/skylarkspring/gateway/rollout/VersionOutcomes.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/rollout/VersionOutcomes.java
@@ -3,10 +3,10 @@
 import org.skylarkspring.gateway.peer.DigestEntry;
 
 /**
- * Outcomes of the requests of one route on the servers of one version since the order of
- * a rollout.
+ * Outcomes of the requests of one route on the new or the old servers of a rollout within
+ * one window of time.
  *
- * @param key rollout, route and version
+ * @param key rollout, target, window, whether the servers are new, and route
  * @param requests number of requests with an outcome
  * @param failures number of these that failed
  * @param slow number of these that took several times as long as usual on the route
--- a/gateway/src/test/java/org/skylarkspring/gateway/pace/ServerPacesTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/pace/ServerPacesTests.java
@@ -46,8 +46,8 @@
 		void serverWithoutReportsCountsAsAverage() {
 			report("fast", 50, 10);
 			report("slow", 150, 10);
-			assertThat(service(10).servers().get("unknown").usualFactor(), closeTo(1, 0.01));
-			assertThat(service(10).servers().get("fast").usualFactor(), lessThan(0.6));
+			assertThat(service(10).servers().get("unknown").averageDurationFactor(), closeTo(1, 0.01));
+			assertThat(service(10).servers().get("fast").averageDurationFactor(), lessThan(0.6));
 		}
 
 		@Test
@@ -56,9 +56,9 @@
 			report("slow", 120, 20);
 			ServerPacesTests.this.paces.recordReport("fast", 137, 20);
 			ServerPace disturbed = service(20).servers().get("fast");
-			assertThat(disturbed.usualFactor(), lessThan(0.7));
-			assertThat(disturbed.currentFactor(), greaterThan(1.3));
-			assertThat(service(1_500).servers().get("fast").currentFactor(), lessThan(0.7));
+			assertThat(disturbed.averageDurationFactor(), lessThan(0.7));
+			assertThat(disturbed.currentDurationFactor(), greaterThan(1.3));
+			assertThat(service(1_500).servers().get("fast").currentDurationFactor(), lessThan(0.7));
 		}
 
 		@Test
@@ -90,10 +90,19 @@
 			report("fast", 100, 1);
 			ServerPacesTests.this.paces.onPeerDigest(digest, 0);
 			ServerPacesTests.this.paces.onPeerDigest(digest, 1);
-			assertThat(service(1).averageFactor(), closeTo(1.5, 0.001));
+			assertThat(service(1).averageDurationFactor(), closeTo(1.5, 0.001));
 			assertThat(ServerPacesTests.this.paces.durationPercent("slow", 1).getAsInt(), is(200));
 		}
 
+		@Test
+		void observationsOfPeersLapseWhenNoReportArrives() {
+			ServerPaces other = new ServerPaces();
+			other.recordReport("slow", 200, 0);
+			ServerPacesTests.this.paces.onPeerDigest(other.ownDigest(0), 0);
+			assertThat(ServerPacesTests.this.paces.ofService(SERVERS, 1_999).isPresent(), is(true));
+			assertThat(ServerPacesTests.this.paces.ofService(SERVERS, 2_000).isPresent(), is(false));
+		}
+
 		@Test
 		void expiredReportsOfPeersAreForgotten() {
 			ServerPaces other = new ServerPaces();
--- a/gateway/src/test/java/org/skylarkspring/gateway/placement/DataCentreTrafficTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/placement/DataCentreTrafficTests.java
@@ -35,19 +35,31 @@
 		void isWhatItsOwnInstancesDoNotNeedLessWhatOthersUse() {
 			peers(DataCentreFlow.of("s", "b", "b", 40_000), DataCentreFlow.of("s", "c", "b", 10_000));
 			DataCentreTrafficTests.this.own.add(DataCentreFlow.of("s", "a", "b", 4_000));
-			assertThat(DataCentreTrafficTests.this.traffic.foreignRoomTokens("s", "b", CAPACITY_TOKENS), is(30_000L));
+			assertThat(DataCentreTrafficTests.this.traffic.spareTokens("s", "b", CAPACITY_TOKENS, 0), is(30_000L));
 		}
 
 		@Test
 		void ignoresOtherServicesAndDataCentres() {
 			peers(DataCentreFlow.of("t", "b", "b", 40_000), DataCentreFlow.of("s", "a", "a", 40_000));
-			assertThat(DataCentreTrafficTests.this.traffic.foreignRoomTokens("s", "b", CAPACITY_TOKENS), is(90_000L));
+			assertThat(DataCentreTrafficTests.this.traffic.spareTokens("s", "b", CAPACITY_TOKENS, 0), is(90_000L));
 		}
 
 		@Test
 		void endsAsThePeakOfItsOwnInstancesRises() {
 			peers(DataCentreFlow.of("s", "b", "b", 80_000));
-			assertThat(DataCentreTrafficTests.this.traffic.foreignRoomTokens("s", "b", CAPACITY_TOKENS), is(0L));
+			assertThat(DataCentreTrafficTests.this.traffic.spareTokens("s", "b", CAPACITY_TOKENS, 0), is(0L));
+		}
+
+	}
+
+	@Nested
+	class LostReports {
+
+		@Test
+		void useByOthersIsForgottenWhenNoReportArrives() {
+			peers(DataCentreFlow.of("s", "b", "b", 80_000));
+			assertThat(DataCentreTrafficTests.this.traffic.spareTokens("s", "b", CAPACITY_TOKENS, 1_999), is(0L));
+			assertThat(DataCentreTrafficTests.this.traffic.spareTokens("s", "b", CAPACITY_TOKENS, 2_000), is(90_000L));
 		}
 
 	}
@@ -58,8 +70,8 @@
 		@Test
 		void atMostOneOfTwoDataCentresIsNotANetImporter() {
 			peers(DataCentreFlow.of("s", "a", "b", 5_000), DataCentreFlow.of("s", "b", "a", 9_000));
-			boolean a = DataCentreTrafficTests.this.traffic.isNetImporter("s", "a");
-			boolean b = DataCentreTrafficTests.this.traffic.isNetImporter("s", "b");
+			boolean a = DataCentreTrafficTests.this.traffic.isNetImporter("s", "a", 0);
+			boolean b = DataCentreTrafficTests.this.traffic.isNetImporter("s", "b", 0);
 			assertThat(a, is(true));
 			assertThat(b, is(false));
 		}
@@ -71,7 +83,7 @@
 			long sent = 0;
 			for (int step = 0; step < 200; step++) {
 				peers(DataCentreFlow.of("s", "b", "b", 50_000), DataCentreFlow.of("s", "a", "b", sent));
-				if (DataCentreTrafficTests.this.traffic.foreignRoomTokens("s", "b", CAPACITY_TOKENS) >= 3_750) {
+				if (DataCentreTrafficTests.this.traffic.spareTokens("s", "b", CAPACITY_TOKENS, 0) >= 3_750) {
 					sent += 3_750;
 				}
 			}
--- a/gateway/src/test/java/org/skylarkspring/gateway/placement/PaceAwarePlacementTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/placement/PaceAwarePlacementTests.java
@@ -68,9 +68,9 @@
 		return new ServicePaces(1.27, servers, java.util.OptionalDouble.of(28), java.util.OptionalDouble.of(75));
 	}
 
-	private PlacementCandidate candidate(int server, Optional<Crossing> crossing) {
-		return new PlacementCandidate(String.valueOf(server), crossing.isEmpty(), this.running[server], 24,
-				this.reservedTokens[server], 0, KV_CAPACITY_TOKENS, 0, false, false, crossing);
+	private PlacementCandidate candidate(int server, Optional<RemoteDataCentreState> remoteDataCentre) {
+		return new PlacementCandidate(String.valueOf(server), remoteDataCentre.isEmpty(), this.running[server], 24,
+				this.reservedTokens[server], 0, KV_CAPACITY_TOKENS, 0, false, false, remoteDataCentre);
 	}
 
 	private int place(PlacementCostFunction cost, PlacementRequest request) {
@@ -156,10 +156,11 @@
 
 		private final PlacementCostFunction cost = PlacementCostFunctions.paceAware();
 
-		private double remote(int server, long foreignRoomTokens, boolean netImporter, long millisSinceResponse,
+		private double remote(int server, long spareTokens, boolean netImporter, long millisSinceResponse,
 				PlacementRequest request) {
 			return this.cost.cost(
-					candidate(server, Optional.of(new Crossing(millisSinceResponse, foreignRoomTokens, netImporter))),
+					candidate(server,
+							Optional.of(new RemoteDataCentreState(millisSinceResponse, spareTokens, netImporter))),
 					request, Optional.of(paces()));
 		}
 
