Correct three comments of placement and admission

The certainty of an instance whose peers have gone is 0, not 1; two class comments say what the cost adds instead of which load it was made for. Comments only.

--- a/gateway/src/main/java/org/skylarkspring/gateway/admission/DemandTable.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/admission/DemandTable.java
@@ -104,8 +104,8 @@
 	}
 
 	/**
-	 * Returns the weight of what other instances have reported: 1 while it is current, 0
-	 * once it has expired. Without other instances it is 1.
+	 * Returns the weight of what other instances have reported last: 1 while it is
+	 * current, 0 once it has expired, 1 if nothing was ever received.
 	 * @param nowMillis current time in milliseconds
 	 * @return the weight, 0 to 1
 	 */
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/CrossDataCentreCost.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/CrossDataCentreCost.java
@@ -1,9 +1,9 @@
 package org.skylarkspring.gateway.placement;
 
 /**
- * Cost of sending a request to another data centre. Answers a load whose peaks come at
- * different times in different data centres, or whose fast servers are not where the
- * demand is: leaving pays when the gain for the caller exceeds this cost.
+ * Cost of sending a request to another data centre, in loads of a server (1 is a full
+ * server). Leaving pays when load and risk of a late response are lower there by more
+ * than this.
  */
 final class CrossDataCentreCost {
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/placement/PaceAwareCost.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/placement/PaceAwareCost.java
@@ -4,17 +4,16 @@
 import org.skylarkspring.gateway.pace.ServicePaces;
 
 /**
- * Placement cost for services whose servers differ in pace. Answers a load of long and
- * short generations on servers of which some work several times as fast as others: a long
- * generation on a slow server exceeds the target interval of its route sooner or later,
- * while a short one is in time anywhere.
+ * What the pace of a server adds to its placement cost. A long generation on a slow
+ * server exceeds the target interval of its route sooner or later, while a short one is
+ * in time on any server.
  */
 final class PaceAwareCost {
 
 	/** Cost of a response that is certainly late, in loads of a server. */
 	private static final double LATE_RESPONSE_COST = 4;
 
-	/** Number of output tokens from which on a pause is as likely as not. */
+	/** Number of output tokens at which half of the risk of a late stream counts. */
 	private static final double HALF_RISK_OUTPUT_TOKENS = 100;
 
 	/**
