Treat a response with a malformed head as a failed attempt

What callers saw: a server in trouble sent a head that was spoilt where it states the length of the body, or with a line that is no field, and the caller got 200 with a part of the body, with the sizes of the chunks in it, or with the spoilt line inside another field. A refusal in such a head was believed, and a request that had run was answered 503.

Cause: the gateway relied on what the HTTP client had understood of the head. The client takes the first of several Content-Length fields, +4 for 4, ignores a transfer encoding other than chunked, appends a line that begins with a blank to the field before it, and accepts HTTP/2.0 and HTTP/9.9.

Why this works: HeadSyntaxCheck reads each head on the bytes of the connection, below the client and for all of its calls, and lets only heads pass that leave no doubt: an HTTP/1 status line, lines that are fields, at most one statement of the length. Anything else fails the attempt with an unknown outcome, without suspicion of a crash.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HeadLimitingConduit.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HeadLimitingConduit.java
@@ -9,8 +9,8 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Conduit that applies a {@link ResponseHeadLimit}, its {@link ResponseStatusCheck} and
- * its {@link ResponseChunkCheck} to the bytes read from a connection.
+ * Conduit that applies a {@link ResponseHeadLimit}, its {@link HeadSyntaxCheck} and its
+ * {@link ResponseChunkCheck} to the bytes read from a connection.
  */
 final class HeadLimitingConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
@@ -53,16 +53,16 @@
 	private void receive(ByteBuffer buffer, int start) throws IOException {
 		int count = buffer.position() - start;
 		if (count > 0) {
-			requireValidStatus(buffer.duplicate().flip().position(start));
+			requireValidHead(buffer.duplicate().flip().position(start));
 			this.chunkCheck.receive(buffer.duplicate().flip().position(start));
 			this.chunkCheck.requireWithinLimit();
 			this.limit.countReceived(count);
 		}
 	}
 
-	private void requireValidStatus(ByteBuffer bytes) throws IOException {
-		this.limit.statusCheck().receive(bytes);
-		Optional<String> fault = this.limit.statusCheck().fault();
+	private void requireValidHead(ByteBuffer bytes) throws IOException {
+		this.limit.headCheck().receive(bytes);
+		Optional<String> fault = this.limit.headCheck().fault();
 		if (fault.isPresent()) {
 			throw new IOException(fault.get());
 		}
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -297,10 +297,10 @@
 
 	private void reportFailure(String reason) {
 		this.failureReported = true;
-		boolean invalidStatus = this.headLimit.statusCheck().fault().isPresent();
+		boolean invalidHead = this.headLimit.headCheck().fault().isPresent();
 		try {
-			if (invalidStatus) {
-				this.listener.onInvalidStatus(reason);
+			if (invalidHead) {
+				this.listener.onInvalidHead(reason);
 				return;
 			}
 			this.listener.onFailure(this.writeTracker.hasWritten() ? DeliveryStatus.UNKNOWN : DeliveryStatus.NOT_SENT,
@@ -313,9 +313,9 @@
 
 	// The HTTP client replaces the exception of a failed read by one of its own.
 	private String describe(IOException failure) {
-		Optional<String> invalidStatus = this.headLimit.statusCheck().fault();
-		if (invalidStatus.isPresent()) {
-			return invalidStatus.get();
+		Optional<String> headFault = this.headLimit.headCheck().fault();
+		if (headFault.isPresent()) {
+			return headFault.get();
 		}
 		if (this.headLimit.isExceeded()) {
 			return this.headLimit.reason();
@@ -422,11 +422,11 @@
 		void onFailure(DeliveryStatus outcome, String reason);
 
 		/**
-		 * Called instead of {@link #onFailure} when the status of the response is none
-		 * that a response may have. The server lives, but nothing is known of the call.
-		 * @param reason description that names the status, for logs
+		 * Called instead of {@link #onFailure} when the head of the response is
+		 * malformed. The server lives, but nothing is known of the call.
+		 * @param reason description that names the status or line, for logs
 		 */
-		default void onInvalidStatus(String reason) {
+		default void onInvalidHead(String reason) {
 			onFailure(DeliveryStatus.UNKNOWN, reason);
 		}
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseHeadLimit.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseHeadLimit.java
@@ -13,7 +13,7 @@
 
 	private final ResponseChunkCheck chunkCheck = new ResponseChunkCheck();
 
-	private final ResponseStatusCheck statusCheck = new ResponseStatusCheck();
+	private final HeadSyntaxCheck headCheck = new HeadSyntaxCheck();
 
 	private int receivedBytes;
 
@@ -30,11 +30,11 @@
 	}
 
 	/**
-	 * Returns the check of the statuses in the head.
+	 * Returns the check of the head.
 	 * @return the check for the same connection
 	 */
-	ResponseStatusCheck statusCheck() {
-		return this.statusCheck;
+	HeadSyntaxCheck headCheck() {
+		return this.headCheck;
 	}
 
 	/** Records that the head is complete, so that further bytes are not limited. */
--- a/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/internal/ServerAttempt.java
@@ -312,7 +312,7 @@
 	}
 
 	@Override
-	public void onInvalidStatus(String reason) {
+	public void onInvalidHead(String reason) {
 		if (!this.detached) {
 			cancelAndFail(reason);
 		}
