Check responses in one place and let the check of chunks begin behind the head

ResponseHeadLimit had become the holder of three checks that its conduit called one by one, and ResponseChunkCheck parsed each head once more only to find its end and the transfer encoding. Now ResponseChecks applies them in order, HeadSyntaxCheck says whether chunks follow, and ResponseChunkCheck knows nothing of heads. The conduit and the connector are named after what they do. Behaviour and tests stay; the tests of the chunks pass the head to HeadSyntaxCheck first.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpClientCall.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientCallback;
@@ -49,7 +48,7 @@
 
 	private final Listener listener;
 
-	private final ResponseHeadLimit headLimit = new ResponseHeadLimit();
+	private final ResponseChecks responseChecks = new ResponseChecks();
 
 	private final WriteTracker writeTracker = new WriteTracker();
 
@@ -91,7 +90,7 @@
 		this.connectTimer = this.connector.scheduleTimeout(() -> fail(new IOException(CONNECT_TIMEOUT_REASON)),
 				connectTimeoutMillis);
 		try {
-			this.connector.connect(address, this.headLimit, this.writeTracker, this.rawConnection,
+			this.connector.connect(address, this.responseChecks, this.writeTracker, this.rawConnection,
 					callback((connected) -> onConnected(connected, request, body), this::closeLateConnection));
 		}
 		catch (RuntimeException ex) {
@@ -143,7 +142,7 @@
 	 * @return {@code true} unless the connection was reset, or closed by this process
 	 */
 	public boolean isClosedByServer() {
-		return this.headLimit.isEndOfInput();
+		return this.responseChecks.isEndOfInput();
 	}
 
 	/** Stops reading the response until {@link #resumeReads()} is called. */
@@ -226,7 +225,7 @@
 	}
 
 	private void onResponse(ClientExchange exchange) {
-		this.headLimit.markHeadComplete();
+		this.responseChecks.markHeadComplete();
 		ClientResponse response = exchange.getResponse();
 		this.responseChannel = exchange.getResponseChannel();
 		this.responseChannel.getReadSetter()
@@ -256,7 +255,7 @@
 					return;
 				}
 				if (count < 0) {
-					this.headLimit.chunkCheck().requireValid();
+					this.responseChecks.requireValidBody();
 					close();
 					this.listener.onComplete();
 					return;
@@ -297,7 +296,7 @@
 
 	private void reportFailure(String reason) {
 		this.failureReported = true;
-		boolean invalidHead = this.headLimit.headCheck().fault().isPresent();
+		boolean invalidHead = this.responseChecks.headFault().isPresent();
 		try {
 			if (invalidHead) {
 				this.listener.onInvalidHead(reason);
@@ -311,19 +310,9 @@
 		}
 	}
 
-	// The HTTP client replaces the exception of a failed read by one of its own.
 	private String describe(IOException failure) {
-		Optional<String> headFault = this.headLimit.headCheck().fault();
-		if (headFault.isPresent()) {
-			return headFault.get();
-		}
-		if (this.headLimit.isExceeded()) {
-			return this.headLimit.reason();
-		}
-		if (failure instanceof ConnectException) {
-			return CONNECTION_REFUSED_REASON;
-		}
-		return (failure.getMessage() != null) ? failure.getMessage() : failure.getClass().getSimpleName();
+		return (failure instanceof ConnectException) ? CONNECTION_REFUSED_REASON
+				: this.responseChecks.describe(failure);
 	}
 
 	private void close() {
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
@@ -28,7 +28,7 @@
 
 	private final XnioIoThread ioThread;
 
-	private final HeadLimitingConnector headLimitingConnector;
+	private final CheckingConnector checkingConnector;
 
 	private final ByteBufferPool bufferPool;
 
@@ -39,20 +39,20 @@
 	 */
 	public HttpConnector(XnioIoThread ioThread, ByteBufferPool bufferPool) {
 		this.ioThread = ioThread;
-		this.headLimitingConnector = new HeadLimitingConnector(ioThread);
+		this.checkingConnector = new CheckingConnector(ioThread);
 		this.bufferPool = bufferPool;
 	}
 
-	void connect(String address, ResponseHeadLimit headLimit, WriteTracker writeTracker, RawConnection rawConnection,
+	void connect(String address, ResponseChecks checks, WriteTracker writeTracker, RawConnection rawConnection,
 			ClientCallback<ClientConnection> callback) {
 		OptionMap options = OptionMap.builder()
 			.addAll(CONNECTION_OPTIONS)
-			.set(HeadLimitingConnector.RESPONSE_HEAD_LIMIT, headLimit)
-			.set(HeadLimitingConnector.WRITE_TRACKER, writeTracker)
-			.set(HeadLimitingConnector.RAW_CONNECTION, rawConnection)
+			.set(CheckingConnector.RESPONSE_CHECKS, checks)
+			.set(CheckingConnector.WRITE_TRACKER, writeTracker)
+			.set(CheckingConnector.RAW_CONNECTION, rawConnection)
 			.getMap();
 		UndertowClient.getInstance()
-			.connect(callback, URI.create("http://" + address), this.headLimitingConnector, this.bufferPool, options);
+			.connect(callback, URI.create("http://" + address), this.checkingConnector, this.bufferPool, options);
 	}
 
 	XnioIoThread.Key schedule(Runnable task, long delayMillis) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChunkCheck.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChunkCheck.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Locale;
-import java.util.regex.Pattern;
 
 /**
  * Checks the size lines of a chunked response body on the bytes of its connection, and
@@ -20,8 +18,6 @@
 	/** Maximum number of bytes of a size line, or after the last chunk. */
 	static final int MAXIMUM_BYTES_BESIDES_CHUNKS = 8 * 1024;
 
-	private static final Pattern CONTINUE = Pattern.compile("^HTTP/\\S+ 100\\b");
-
 	private static final int HEXADECIMAL = 16;
 
 	/** More digits would exceed the range of a number, and no chunk is that large. */
@@ -29,21 +25,17 @@
 
 	private final StringBuilder line = new StringBuilder();
 
-	private State state = State.STATUS_LINE;
-
-	private boolean interim;
-
-	private boolean chunked;
+	private State state = State.CHUNK_SIZE;
 
 	private long remainingChunkBytes;
 
-	/** Bytes of the body since the last byte of a chunk. */
+	/** Bytes since the last byte of a chunk. */
 	private long bytesBesidesChunks;
 
 	private String fault = "";
 
 	/**
-	 * Receives bytes of the connection.
+	 * Receives bytes of the connection that follow the head of a chunked response.
 	 * @param bytes the bytes, in the order of the connection
 	 */
 	void receive(ByteBuffer bytes) {
@@ -67,15 +59,14 @@
 	 * bytes
 	 */
 	void requireWithinLimit() throws IOException {
-		boolean inBody = this.state.ordinal() >= State.CHUNK_SIZE.ordinal();
-		if (inBody && this.bytesBesidesChunks > MAXIMUM_BYTES_BESIDES_CHUNKS) {
+		if (this.bytesBesidesChunks > MAXIMUM_BYTES_BESIDES_CHUNKS) {
 			throw new IOException(
 					"response has more than " + MAXIMUM_BYTES_BESIDES_CHUNKS + " bytes that belong to no chunk");
 		}
 	}
 
 	/**
-	 * Fails if the response is chunked and a chunk did not begin with its size.
+	 * Fails if a chunk did not begin with its size.
 	 * @throws IOException if the end of the body cannot be trusted
 	 */
 	void requireValid() throws IOException {
@@ -120,11 +111,6 @@
 
 	private void onLine(String text) {
 		switch (this.state) {
-			case STATUS_LINE -> {
-				this.interim = CONTINUE.matcher(text).find();
-				this.state = State.HEADERS;
-			}
-			case HEADERS -> onHeader(text.toLowerCase(Locale.ROOT));
 			case CHUNK_SIZE -> onChunkSize(text);
 			case CHUNK_END -> {
 				this.state = State.CHUNK_SIZE;
@@ -136,21 +122,6 @@
 		}
 	}
 
-	private void onHeader(String header) {
-		if (header.startsWith("transfer-encoding:")) {
-			this.chunked = header.contains("chunked");
-		}
-		if (!header.isEmpty()) {
-			return;
-		}
-		if (this.interim) {
-			this.state = State.STATUS_LINE;
-			return;
-		}
-		this.state = this.chunked ? State.CHUNK_SIZE : State.ENDED;
-		this.bytesBesidesChunks = 0;
-	}
-
 	private void onChunkSize(String text) {
 		String digits = text.split("[;\\s]", 2)[0];
 		if (digits.isEmpty() || digits.length() > MAXIMUM_SIZE_DIGITS) {
@@ -172,7 +143,7 @@
 	 */
 	private enum State {
 
-		STATUS_LINE, HEADERS, CHUNK_SIZE, CHUNK_END, TRAILERS, ENDED
+		CHUNK_SIZE, CHUNK_END, TRAILERS, ENDED
 
 	}
 
--- a/gateway/src/test/java/org/skylarkspring/gateway/http/ResponseChunkCheckTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/http/ResponseChunkCheckTests.java
@@ -20,10 +20,15 @@
 	private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n";
 
 	private static ResponseChunkCheck receive(String text, int packetBytes) {
+		HeadSyntaxCheck head = new HeadSyntaxCheck();
 		ResponseChunkCheck check = new ResponseChunkCheck();
 		byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
 		for (int start = 0; start < bytes.length; start += packetBytes) {
-			check.receive(ByteBuffer.wrap(bytes, start, Math.min(packetBytes, bytes.length - start)));
+			ByteBuffer packet = ByteBuffer.wrap(bytes, start, Math.min(packetBytes, bytes.length - start));
+			head.receive(packet);
+			if (head.isBodyChunked()) {
+				check.receive(packet);
+			}
 		}
 		return check;
 	}
