Do not take a response for complete when a line after its last chunk is no field

What callers saw: 200 although the server had written a line such as "a b: c" after the last chunk. Cause: the HTTP client reads trailers leniently, and ResponseChunkCheck did not look at them. Why this works: each of these lines has to be a field by the same rule as in the head, else the end of the body is not trusted.

--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChecks.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChecks.java
@@ -72,7 +72,7 @@
 	}
 
 	/**
-	 * Fails if the response is chunked and a chunk did not begin with its size.
+	 * Fails if the body is chunked and the server wrote something else into it.
 	 * @throws IOException if the end of the body cannot be trusted
 	 */
 	void requireValidBody() throws IOException {
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChunkCheck.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChunkCheck.java
@@ -4,11 +4,11 @@
 import java.nio.ByteBuffer;
 
 /**
- * Checks the size lines of a chunked response body on the bytes of its connection, and
- * limits what a server writes besides the chunks. The HTTP client takes a line without a
- * size for the last chunk, so that a body would look complete where the server wrote
- * something else into it. It keeps all lines after the last chunk, and does not return to
- * the event loop within a line.
+ * Checks the size lines and trailers of a chunked response body on the bytes of its
+ * connection, and limits what a server writes besides the chunks. The HTTP client takes a
+ * line without a size for the last chunk, so that a body would look complete where the
+ * server wrote something else into it. It keeps all lines after the last chunk, and does
+ * not return to the event loop within a line.
  */
 final class ResponseChunkCheck {
 
@@ -66,7 +66,7 @@
 	}
 
 	/**
-	 * Fails if a chunk did not begin with its size.
+	 * Fails if a chunk did not begin with its size, or a trailer is no field.
 	 * @throws IOException if the end of the body cannot be trusted
 	 */
 	void requireValid() throws IOException {
@@ -84,9 +84,9 @@
 
 	private void receiveLineByte(char next) {
 		if (next == '\n') {
-			String complete = this.line.toString().strip();
+			String complete = this.line.toString();
 			this.line.setLength(0);
-			onLine(complete);
+			onLine(complete.endsWith("\r") ? complete.substring(0, complete.length() - 1) : complete);
 		}
 		else if (this.line.length() < MAXIMUM_KEPT_CHARACTERS) {
 			this.line.append(next);
@@ -115,9 +115,7 @@
 			case CHUNK_END -> {
 				this.state = State.CHUNK_SIZE;
 			}
-			case TRAILERS -> {
-				this.state = text.isEmpty() ? State.ENDED : State.TRAILERS;
-			}
+			case TRAILERS -> onTrailer(text);
 			default -> throw new IllegalStateException("line after the end of the response: " + text);
 		}
 	}
@@ -132,6 +130,15 @@
 		this.state = (this.remainingChunkBytes > 0) ? State.CHUNK_END : State.TRAILERS;
 	}
 
+	private void onTrailer(String text) {
+		if (text.isEmpty()) {
+			this.state = State.ENDED;
+		}
+		else if (FieldLine.parse(text).isEmpty()) {
+			end("line \"" + text + "\" after the last chunk is no field");
+		}
+	}
+
 	private void end(String description) {
 		this.fault = description;
 		this.state = State.ENDED;
--- a/gateway/src/test/java/org/skylarkspring/gateway/http/ResponseChunkCheckTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/http/ResponseChunkCheckTests.java
@@ -73,7 +73,8 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 503 Busy\r\n\r\n", "5\r\nhello\r\nHTTP/1.1 503 Busy\r\n\r\n",
 			"5\r\nhelloworld\r\n0\r\n\r\n", "\r\n0\r\n\r\n", "5x\r\nhello\r\n0\r\n\r\n", " 5\r\nhello\r\n",
-			"fffffffffffffffff\r\nx", "H" })
+			"fffffffffffffffff\r\nx", "H", "0\r\njunk\r\n\r\n", "0\r\na b: c\r\n\r\n",
+			"0\r\nT: v\r\na\u0001: c\r\n\r\n" })
 	void reportsWhateverIsNoChunk(String body) {
 		for (int packetBytes = 1; packetBytes < 100; packetBytes++) {
 			ResponseChunkCheck check = receive(CHUNKED_HEAD + body, packetBytes);
