Check the responses that the entry instance reads as the gateway does

What callers saw: the entry instance passed on a response with a spoilt length, a folded line or a status of 000, 600 or 999, and one in which a refusal stood between the chunks. A refusal with a malformed head counted as "not run". Cause: its HTTP client opened connections without the checks that the gateway has on the bytes of its connections.

Why this works: HttpConnectionPool opens connections through HttpConnector, so that they are checked by the same code, and KeptConnection prepares the checks for each response on a connection that is kept. The failure is MAY_HAVE_RUN as for any response that cannot be read, and the connection is closed at once instead of after up to ten seconds.

--- a/entry/src/main/java/org/skylarkspring/entry/http/HttpClientExchange.java
+++ b/entry/src/main/java/org/skylarkspring/entry/http/HttpClientExchange.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -21,6 +20,7 @@
 import org.xnio.channels.StreamSourceChannel;
 
 import org.skylarkspring.core.model.Verdict;
+import org.skylarkspring.gateway.http.KeptConnection;
 
 /**
  * One HTTP request whose response is passed to a listener chunk by chunk. All methods
@@ -36,7 +36,7 @@
 
 	private final Listener listener;
 
-	private ClientConnection connection;
+	private KeptConnection connection;
 
 	private StreamSourceChannel responseChannel;
 
@@ -82,7 +82,7 @@
 		}
 	}
 
-	private void sendRequest(ClientConnection newConnection) {
+	private void sendRequest(KeptConnection newConnection) {
 		if (this.ended) {
 			IoUtils.safeClose(newConnection);
 			return;
@@ -109,6 +109,7 @@
 		if (this.ended) {
 			return;
 		}
+		this.connection.markHeadComplete();
 		ClientResponse response = exchange.getResponse();
 		String contentType = Optional.ofNullable(response.getResponseHeaders().getFirst(Headers.CONTENT_TYPE))
 			.orElse("");
@@ -133,6 +134,7 @@
 					return;
 				}
 				if (bytesRead < 0) {
+					this.connection.requireValidBody();
 					complete();
 					return;
 				}
@@ -164,7 +166,11 @@
 		IoUtils.safeClose(this.connection);
 		Verdict verdict = (failure instanceof HttpClientException clientFailure) ? clientFailure.verdict()
 				: Verdict.MAY_HAVE_RUN;
-		this.listener.onFailure(verdict, String.valueOf(failure.getMessage()));
+		this.listener.onFailure(verdict, describe(failure));
+	}
+
+	private String describe(IOException failure) {
+		return (this.connection != null) ? this.connection.describe(failure) : String.valueOf(failure.getMessage());
 	}
 
 	private <T> ClientCallback<T> callback(Consumer<T> onCompleted) {
--- a/entry/src/main/java/org/skylarkspring/entry/http/HttpConnectionPool.java
+++ b/entry/src/main/java/org/skylarkspring/entry/http/HttpConnectionPool.java
@@ -1,7 +1,6 @@
 package org.skylarkspring.entry.http;
 
 import java.io.IOException;
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -10,16 +9,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
 
 import org.skylarkspring.core.model.Verdict;
+import org.skylarkspring.gateway.http.HttpConnector;
+import org.skylarkspring.gateway.http.KeptConnection;
 
 /**
  * Opens HTTP connections and pools idle ones for reuse, separately for each I/O thread.
@@ -31,13 +28,11 @@
 
 	private static final int MAXIMUM_IDLE_PER_ADDRESS = 32;
 
-	private static final OptionMap CLIENT_OPTIONS = OptionMap.create(UndertowOptions.ENABLE_HTTP2, false);
-
-	private final UndertowClient client = UndertowClient.getInstance();
-
 	private final ByteBufferPool bufferPool;
 
-	private final Map<XnioIoThread, Map<String, Deque<ClientConnection>>> idleConnections = new ConcurrentHashMap<>();
+	private final Map<XnioIoThread, HttpConnector> connectors = new ConcurrentHashMap<>();
+
+	private final Map<XnioIoThread, Map<String, Deque<KeptConnection>>> idleConnections = new ConcurrentHashMap<>();
 
 	/**
 	 * Creates an empty pool.
@@ -58,8 +53,8 @@
 	 * @param callback receives the connection, or an {@link HttpClientException} with the
 	 * verdict {@link Verdict#NOT_RUN}, because a request that was never sent has not run
 	 */
-	void acquire(XnioIoThread ioThread, HttpClientRequest request, ClientCallback<ClientConnection> callback) {
-		Optional<ClientConnection> idleConnection = request.connectionReuseAllowed()
+	void acquire(XnioIoThread ioThread, HttpClientRequest request, ClientCallback<KeptConnection> callback) {
+		Optional<KeptConnection> idleConnection = request.connectionReuseAllowed()
 				? takeIdle(ioThread, request.address()) : Optional.empty();
 		if (idleConnection.isPresent()) {
 			callback.completed(idleConnection.get());
@@ -70,12 +65,12 @@
 				() -> pending.fail("connection not established within " + CONNECT_TIMEOUT_MILLIS + " ms"),
 				CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		pending.timeoutKey = timeout;
-		this.client.connect(pending, URI.create("http://" + request.address()), ioThread, this.bufferPool,
-				CLIENT_OPTIONS);
+		this.connectors.computeIfAbsent(ioThread, (thread) -> new HttpConnector(thread, this.bufferPool))
+			.connect(request.address(), pending);
 	}
 
-	void release(XnioIoThread ioThread, String address, ClientConnection connection) {
-		Deque<ClientConnection> idle = idleConnectionsFor(ioThread, address);
+	void release(XnioIoThread ioThread, String address, KeptConnection connection) {
+		Deque<KeptConnection> idle = idleConnectionsFor(ioThread, address);
 		if (connection.isOpen() && idle.size() < MAXIMUM_IDLE_PER_ADDRESS) {
 			idle.addFirst(connection);
 			return;
@@ -83,13 +78,13 @@
 		IoUtils.safeClose(connection);
 	}
 
-	private Optional<ClientConnection> takeIdle(XnioIoThread ioThread, String address) {
-		Deque<ClientConnection> idle = idleConnectionsFor(ioThread, address);
+	private Optional<KeptConnection> takeIdle(XnioIoThread ioThread, String address) {
+		Deque<KeptConnection> idle = idleConnectionsFor(ioThread, address);
 		idle.removeIf((connection) -> !connection.isOpen());
 		return Optional.ofNullable(idle.pollFirst());
 	}
 
-	private Deque<ClientConnection> idleConnectionsFor(XnioIoThread ioThread, String address) {
+	private Deque<KeptConnection> idleConnectionsFor(XnioIoThread ioThread, String address) {
 		return this.idleConnections.computeIfAbsent(ioThread, (thread) -> new HashMap<>())
 			.computeIfAbsent(address, (key) -> new ArrayDeque<>());
 	}
@@ -98,20 +93,20 @@
 	 * A connection attempt that completes exactly once: with a connection, a failure or a
 	 * timeout. A connection that is established after the timeout is closed.
 	 */
-	private static final class PendingConnection implements ClientCallback<ClientConnection> {
+	private static final class PendingConnection implements ClientCallback<KeptConnection> {
 
-		private final ClientCallback<ClientConnection> callback;
+		private final ClientCallback<KeptConnection> callback;
 
 		private XnioIoThread.Key timeoutKey;
 
 		private boolean ended;
 
-		private PendingConnection(ClientCallback<ClientConnection> callback) {
+		private PendingConnection(ClientCallback<KeptConnection> callback) {
 			this.callback = callback;
 		}
 
 		@Override
-		public void completed(ClientConnection connection) {
+		public void completed(KeptConnection connection) {
 			if (this.ended) {
 				IoUtils.safeClose(connection);
 				return;
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpConnector.java
@@ -1,5 +1,6 @@
 package org.skylarkspring.gateway.http;
 
+import java.io.IOException;
 import java.net.URI;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +44,29 @@
 		this.bufferPool = bufferPool;
 	}
 
+	/**
+	 * Opens a connection for any number of calls.
+	 * @param address the IP address and port
+	 * @param callback receives the connection
+	 */
+	public void connect(String address, ClientCallback<KeptConnection> callback) {
+		ResponseChecks checks = new ResponseChecks();
+		RawConnection rawConnection = new RawConnection();
+		connect(address, checks, new WriteTracker(), rawConnection, new ClientCallback<>() {
+
+			@Override
+			public void completed(ClientConnection connection) {
+				callback.completed(new KeptConnection(connection, rawConnection, checks));
+			}
+
+			@Override
+			public void failed(IOException failure) {
+				callback.failed(failure);
+			}
+
+		});
+	}
+
 	void connect(String address, ResponseChecks checks, WriteTracker writeTracker, RawConnection rawConnection,
 			ClientCallback<ClientConnection> callback) {
 		OptionMap options = OptionMap.builder()
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChecks.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChecks.java
@@ -18,9 +18,9 @@
 	/** Maximum size of a response head, many times that of a usual one. */
 	static final int MAXIMUM_HEAD_BYTES = 32 * 1024;
 
-	private final HeadSyntaxCheck headCheck = new HeadSyntaxCheck();
+	private HeadSyntaxCheck headCheck = new HeadSyntaxCheck();
 
-	private final ResponseChunkCheck chunkCheck = new ResponseChunkCheck();
+	private ResponseChunkCheck chunkCheck = new ResponseChunkCheck();
 
 	private int receivedBytes;
 
@@ -44,6 +44,14 @@
 		countReceived(count);
 	}
 
+	/** Prepares for the next response on the same connection. */
+	void restart() {
+		this.headCheck = new HeadSyntaxCheck();
+		this.chunkCheck = new ResponseChunkCheck();
+		this.receivedBytes = 0;
+		this.headComplete = false;
+	}
+
 	/** Records that the head is complete, so that further bytes are not limited. */
 	void markHeadComplete() {
 		this.headComplete = true;
