Do not take an interim response for the response to a call

What was seen: a call of the gateway to copy or stop a generation that got the status 102, 103 or 199 counted as answered (a handle in it as stopped), and the entry instance passed such a response on. Cause: the HTTP client skips only 100; attempts check that the status is final, the two collectors of whole responses did not. Why this works: a status below 200 now fails the call with an unknown outcome, as it fails an attempt.

--- a/entry/src/main/java/org/skylarkspring/entry/http/HttpClientExchange.java
+++ b/entry/src/main/java/org/skylarkspring/entry/http/HttpClientExchange.java
@@ -28,6 +28,8 @@
  */
 public final class HttpClientExchange {
 
+	private static final int LOWEST_FINAL_STATUS = 200;
+
 	private final HttpConnectionPool connectionPool;
 
 	private final XnioIoThread ioThread;
@@ -111,6 +113,10 @@
 		}
 		this.connection.markHeadComplete();
 		ClientResponse response = exchange.getResponse();
+		if (response.getResponseCode() < LOWEST_FINAL_STATUS) {
+			fail(new IOException("interim status " + response.getResponseCode() + " instead of a response"));
+			return;
+		}
 		String contentType = Optional.ofNullable(response.getResponseHeaders().getFirst(Headers.CONTENT_TYPE))
 			.orElse("");
 		this.listener.onResponseHeaders(response.getResponseCode(), contentType);
--- a/entry/src/test/java/org/skylarkspring/entry/http/MalformedResponseTests.java
+++ b/entry/src/test/java/org/skylarkspring/entry/http/MalformedResponseTests.java
@@ -138,6 +138,13 @@
 			assertRequestMayHaveRun();
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "102", "103", "199" })
+		void interimResponseIsNone(String status) {
+			MalformedResponseTests.this.responses.add(VALID.replace("200", status));
+			assertRequestMayHaveRun();
+		}
+
 		@ParameterizedTest
 		@ValueSource(strings = { "Content-Length: 4\r\nContent-Length: 8", "X: y\r\n Content-Length: 4", "junk" })
 		void refusalIsNotBelieved(String lines) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HttpTextClient.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HttpTextClient.java
@@ -18,6 +18,8 @@
  */
 public final class HttpTextClient {
 
+	private static final int LOWEST_FINAL_STATUS = 200;
+
 	private final HttpConnector connector;
 
 	/**
@@ -100,6 +102,9 @@
 		public void onResponseHeaders(ClientResponse response) {
 			this.status = response.getResponseCode();
 			this.headers = response.getResponseHeaders();
+			if (this.status < LOWEST_FINAL_STATUS) {
+				cancelAndFail("interim status " + this.status + " instead of a response");
+			}
 		}
 
 		@Override
