Do not take chunks without a transfer encoding for a body

What callers saw: 200 with the sizes of the chunks in the body, or between the events of a stream, when the field of the transfer encoding was missing or its name was spoilt into another valid one. Cause: a body without a stated length may end with its connection, and nobody looked at what it consists of.

Why this works: ResponseChecks runs ResponseChunkCheck on such a body too, and a body that is a whole sequence of chunks up to the empty line behind the last one fails at its end, so that it never looks complete. In a stream, a line that is only the size of a chunk is no field.

--- a/entry/src/test/java/org/skylarkspring/entry/http/MalformedResponseTests.java
+++ b/entry/src/test/java/org/skylarkspring/entry/http/MalformedResponseTests.java
@@ -167,6 +167,23 @@
 
 	}
 
+	@Nested
+	class BodiesWithoutLength {
+
+		@Test
+		void chunksWithoutTransferEncodingFailTheRequest() {
+			MalformedResponseTests.this.responses.add(VALID_CHUNKS.replace("Transfer-Encoding", "Transfer-Encodinf"));
+			assertRequestMayHaveRun();
+		}
+
+		@Test
+		void otherBodyEndsWithItsConnection() {
+			MalformedResponseTests.this.responses.add(OK + "\r\nhello");
+			assertRequestIsAnswered();
+		}
+
+	}
+
 	@Nested
 	class KeptConnections {
 
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/BodyLengthFields.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/BodyLengthFields.java
@@ -35,7 +35,7 @@
 		if (!length && !encoding) {
 			return Optional.empty();
 		}
-		if (this.field != null) {
+		if (isPresent()) {
 			return Optional.of("both \"" + describe(this.field) + "\" and \"" + describe(added) + "\"");
 		}
 		this.field = added;
@@ -43,12 +43,20 @@
 		return valid ? Optional.empty() : Optional.of("invalid \"" + describe(added) + "\"");
 	}
 
+	/**
+	 * Returns whether a field states the length.
+	 * @return {@code false} if the body ends with its connection
+	 */
+	boolean isPresent() {
+		return this.field != null;
+	}
+
 	/**
 	 * Returns whether the body is sent in chunks.
 	 * @return {@code false} also if no field states the length
 	 */
 	boolean isChunked() {
-		return this.field != null && this.field.name().equals(TRANSFER_ENCODING);
+		return isPresent() && this.field.name().equals(TRANSFER_ENCODING);
 	}
 
 	/**
@@ -56,7 +64,7 @@
 	 * @return {@code false} if no field states the length, or if it is zero
 	 */
 	boolean isBodyAnnounced() {
-		return this.field != null && !ZERO.matcher(this.field.value()).matches();
+		return isPresent() && !ZERO.matcher(this.field.value()).matches();
 	}
 
 	private static String describe(FieldLine line) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/HeadSyntaxCheck.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/HeadSyntaxCheck.java
@@ -76,6 +76,14 @@
 		return this.state == State.ENDED && this.bodyLength.isChunked();
 	}
 
+	/**
+	 * Returns whether the body of the response ends with its connection.
+	 * @return {@code false} also before the end of the head
+	 */
+	boolean isBodyWithoutLength() {
+		return this.state == State.ENDED && !this.bodyLength.isPresent();
+	}
+
 	private void receive(char next) {
 		this.line.append(next);
 		if (this.state == State.STATUS_LINE && mayEndStatus(next)) {
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/KeptConnection.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/KeptConnection.java
@@ -46,8 +46,9 @@
 
 	/**
 	 * Fails if the body of the response is chunked and the server wrote something else
-	 * into it. To be called at the end of the body.
-	 * @throws IOException if the end of the body cannot be trusted
+	 * into it, or if the head does not say that it is chunked. To be called at the end of
+	 * the body.
+	 * @throws IOException if the body cannot be trusted
 	 */
 	public void requireValidBody() throws IOException {
 		this.checks.requireValidBody();
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChecks.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChecks.java
@@ -41,6 +41,9 @@
 			this.chunkCheck.receive(bytes);
 			this.chunkCheck.requireWithinLimit();
 		}
+		else if (this.headCheck.isBodyWithoutLength()) {
+			this.chunkCheck.receive(bytes);
+		}
 		countReceived(count);
 	}
 
@@ -80,11 +83,17 @@
 	}
 
 	/**
-	 * Fails if the body is chunked and the server wrote something else into it.
-	 * @throws IOException if the end of the body cannot be trusted
+	 * Fails if the body is chunked and the server wrote something else into it, or if the
+	 * head does not say that it is chunked.
+	 * @throws IOException if the body cannot be trusted
 	 */
 	void requireValidBody() throws IOException {
-		this.chunkCheck.requireValid();
+		if (this.headCheck.isBodyChunked()) {
+			this.chunkCheck.requireValid();
+		}
+		else if (this.chunkCheck.isComplete()) {
+			throw new IOException("body without a stated length consists of chunks");
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChunkCheck.java
+++ b/gateway/src/main/java/org/skylarkspring/gateway/http/ResponseChunkCheck.java
@@ -75,6 +75,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether all chunks and trailers were received.
+	 * @return {@code true} after the empty line behind the last chunk
+	 */
+	boolean isComplete() {
+		return this.state == State.ENDED && this.fault.isEmpty();
+	}
+
 	private void skipChunkBytes(ByteBuffer bytes) {
 		int count = (int) Math.min(this.remainingChunkBytes, bytes.remaining());
 		bytes.position(bytes.position() + count);
--- a/gateway/src/test/java/org/skylarkspring/gateway/policy/SseEventTests.java
+++ b/gateway/src/test/java/org/skylarkspring/gateway/policy/SseEventTests.java
@@ -27,9 +27,9 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(
-			strings = { "HTTP/1.1 503 Busy\r\nRequest-Id: a\r\n\r\n", "id: 3\ndata: tokHTTP/1.1 503\r\nDate: x\r\n\r\n",
-					"{\"error\":\"overloaded\"}\n\n", "server is busy\n\n", "id: 1\nDATA: a\n\n" })
+	@ValueSource(strings = { "HTTP/1.1 503 Busy\r\nRequest-Id: a\r\n\r\n",
+			"id: 3\ndata: tokHTTP/1.1 503\r\nDate: x\r\n\r\n", "{\"error\":\"overloaded\"}\n\n", "server is busy\n\n",
+			"id: 1\nDATA: a\n\n", "2a\r\nid: 3\ndata: a\n\n", "\r\n8\r\nid: 3\ndata: a\n\n" })
 	void rejectsLinesOfHeadsAndBodies(String text) {
 		assertThat(event(text).hasOnlyFields(), is(false));
 	}
