--- a/review/rig-2/Worker.java
+++ b/review/rig-2/Worker.java
@@ -8,12 +8,13 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Worker of a plain service: answers each request after some time of work. */
 final class Worker {
 
 	/** A request that a worker has begun to work on. */
-	record Run(String request, String worker, long atMillis) {
+	record Run(String request, String path, String worker, long atMillis) {
 	}
 
 	final List<Run> runs = new CopyOnWriteArrayList<>();
@@ -34,6 +35,11 @@
 
 	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
+	private final AtomicInteger answers = new AtomicInteger();
+
+	/** Of so many answers one is lost after the run, 0 for none. */
+	volatile int losesOneAnswerOf;
+
 	Worker(Journal journal, String ip, String id, String service, String zone, long workMillis) throws IOException {
 		this.journal = journal;
 		this.id = id;
@@ -111,9 +117,14 @@
 					+ requestId + "\r\nContent-Length: 0\r\n\r\n"));
 			return;
 		}
-		this.runs.add(new Run(requestId, this.id, this.journal.nowMillis()));
+		this.runs.add(new Run(requestId, request.word(1), this.id, this.journal.nowMillis()));
 		this.journal.add(this.id + " runs " + requestId + " " + request.firstLine());
 		Threads.sleep(this.workMillis);
+		int every = this.losesOneAnswerOf;
+		if (every > 0 && this.answers.incrementAndGet() % every == 0) {
+			this.journal.add(this.id + " has run " + requestId + ", its answer is lost");
+			throw new IOException("answer lost");
+		}
 		String body = "done " + requestId + "\n";
 		out.write(Http.bytes("HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Signature: s." + this.id
 				+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
